--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,87 @@
+//! `shaleshunt`: the controller's command line.
+
+mod settings;
+
+use clap::{Parser, Subcommand};
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// A cluster scheduler: deadline jobs run shortest first on owned machines, and on rented ones when
+/// they would be late.
+#[derive(Parser)]
+#[command(name = "shaleshunt", version)]
+struct Cli {
+    #[command(subcommand)]
+    command: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Run a controller until it is stopped.
+    Serve(Files),
+    /// Check the settings and print what is wrong, field by field.
+    Check(Files),
+}
+
+#[derive(clap::Args)]
+struct Files {
+    /// The platform's settings (TOML).
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// The operators' own settings (Java-style properties).
+    #[arg(long, value_name = "FILE")]
+    properties: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let (files, serve) = match cli.command {
+        Verb::Serve(files) => (files, true),
+        Verb::Check(files) => (files, false),
+    };
+    let loaded = match settings::load(&files.config, files.properties.as_deref()) {
+        Ok(loaded) => loaded,
+        Err(problems) if serve => {
+            eprintln!("shaleshunt: settings: {}", problems.join("; "));
+            return ExitCode::FAILURE;
+        }
+        Err(problems) => {
+            for p in problems {
+                eprintln!("{p}");
+            }
+            return ExitCode::FAILURE;
+        }
+    };
+    if !serve {
+        println!("settings are fine: node {}, {} peers", loaded.settings.label, loaded.wiring.peers.len());
+        return ExitCode::SUCCESS;
+    }
+    let level = match std::env::var("LOG_LEVEL").as_deref() {
+        Ok("debug") => tracing::Level::DEBUG,
+        Ok("error") => tracing::Level::ERROR,
+        _ => tracing::Level::INFO,
+    };
+    tracing_subscriber::fmt()
+        .with_max_level(level)
+        .with_writer(std::io::stderr)
+        .with_ansi(false)
+        .without_time()
+        .with_target(false)
+        .init();
+    let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("shaleshunt: cannot start: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let local = tokio::task::LocalSet::new();
+    let node = shaleshunt_net::run(loaded.settings, loaded.tuning, loaded.wiring);
+    match local.block_on(&runtime, node) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("shaleshunt: cannot listen: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/settings.rs
@@ -0,0 +1,251 @@
+//! Reads and checks the platform's settings and the operators' properties.
+
+use serde::Deserialize;
+use shaleshunt_core::settings::{Aim, Settings, Team, Tuning};
+use shaleshunt_net::Wiring;
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+/// Everything that a controller is started with.
+#[derive(Debug)]
+pub struct Loaded {
+    /// The platform's settings.
+    pub settings: Settings,
+    /// The operators' settings.
+    pub tuning: Tuning,
+    /// Addresses.
+    pub wiring: Wiring,
+}
+
+#[derive(Deserialize)]
+struct File {
+    label: String,
+    location: String,
+    front: String,
+    back: String,
+    #[serde(default)]
+    seeds: Vec<Seed>,
+    endpoints: Endpoints,
+    params: Params,
+}
+
+#[derive(Deserialize)]
+struct Seed {
+    label: String,
+    #[serde(default)]
+    location: String,
+    address: String,
+}
+
+#[derive(Deserialize)]
+struct Endpoints {
+    cloud: String,
+    state: String,
+}
+
+#[derive(Deserialize)]
+struct Params {
+    #[serde(default)]
+    zones: Vec<String>,
+    #[serde(default)]
+    teams: Vec<TeamEntry>,
+    #[serde(default)]
+    objectives: Vec<Objective>,
+    workers: Workers,
+    state: State,
+    cloud: Cloud,
+    resources: Resources,
+}
+
+#[derive(Deserialize)]
+struct TeamEntry {
+    name: String,
+    #[serde(default)]
+    cpus: f64,
+    #[serde(default)]
+    cpus_max: f64,
+    #[serde(default)]
+    gpus: f64,
+    #[serde(default)]
+    gpus_max: f64,
+}
+
+#[derive(Deserialize)]
+struct Objective {
+    kind: String,
+    #[serde(default)]
+    class: Option<String>,
+    #[serde(default)]
+    within_s: Option<f64>,
+}
+
+#[derive(Deserialize)]
+struct Workers {
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+}
+
+#[derive(Deserialize)]
+struct State {
+    rps: f64,
+    write_rps: f64,
+    value_kb: f64,
+    txn_ops: usize,
+}
+
+#[derive(Deserialize)]
+struct Cloud {
+    rps: f64,
+    list_lag_s: f64,
+}
+
+#[derive(Deserialize)]
+struct Resources {
+    mem_mb: f64,
+    fd_limit: usize,
+}
+
+/// Reads both files; all that is wrong, one line a field.
+pub fn load(config: &Path, properties: Option<&Path>) -> Result<Loaded, Vec<String>> {
+    let text = std::fs::read_to_string(config).map_err(|e| vec![format!("{}: {e}", config.display())])?;
+    let mut problems = Vec::new();
+    let tuning = match properties {
+        None => Tuning::default(),
+        Some(path) => match std::fs::read(path) {
+            Err(e) => {
+                problems.push(format!("{}: {e}", path.display()));
+                Tuning::default()
+            }
+            Ok(bytes) => parse_properties(&bytes, &mut problems),
+        },
+    };
+    match parse(&text) {
+        Ok((settings, wiring)) if problems.is_empty() => Ok(Loaded { settings, tuning, wiring }),
+        Ok(_) => Err(problems),
+        Err(more) => {
+            problems.extend(more);
+            Err(problems)
+        }
+    }
+}
+
+/// Reads operators' properties.
+pub fn parse_properties(bytes: &[u8], problems: &mut Vec<String>) -> Tuning {
+    let mut tuning = Tuning::default();
+    match java_properties::read(bytes) {
+        Err(e) => problems.push(format!("properties: {e}")),
+        Ok(map) => {
+            let sorted: BTreeMap<String, String> = map.into_iter().collect();
+            for (key, value) in sorted {
+                if let Err(problem) = tuning.set(&key, &value) {
+                    problems.push(problem);
+                }
+            }
+        }
+    }
+    tuning
+}
+
+/// Reads the platform's settings.
+pub fn parse(text: &str) -> Result<(Settings, Wiring), Vec<String>> {
+    let file: File = toml::from_str(text).map_err(|e| {
+        let line = e.span().map_or(0, |s| text[..s.start.min(text.len())].lines().count());
+        vec![format!("line {line}: {}", e.message())]
+    })?;
+    let mut problems = Vec::new();
+    let mut check = |ok: bool, field: &str, what: &str| {
+        if !ok {
+            problems.push(format!("{field}: {what}"));
+        }
+    };
+    let address = |a: &str| a.parse::<SocketAddrV4>().is_ok();
+    let p = &file.params;
+    check(!file.label.is_empty(), "label", "must not be empty");
+    check(address(&file.front), "front", "must be an IPv4 address with a port");
+    check(address(&file.back), "back", "must be an IPv4 address with a port");
+    check(address(&file.endpoints.cloud), "endpoints.cloud", "must be an IPv4 address with a port");
+    check(address(&file.endpoints.state), "endpoints.state", "must be an IPv4 address with a port");
+    for seed in &file.seeds {
+        check(address(&seed.address), &format!("seeds.{}.address", seed.label), "must be an IPv4 address with a port");
+        check(seed.label != file.label, "seeds", "must not name this node");
+    }
+    let positive = |x: f64| x.is_finite() && x > 0.0;
+    for (x, field) in [
+        (p.workers.report_s, "params.workers.report_s"),
+        (p.workers.lease_s, "params.workers.lease_s"),
+        (p.workers.cancel_s, "params.workers.cancel_s"),
+        (p.state.rps, "params.state.rps"),
+        (p.state.write_rps, "params.state.write_rps"),
+        (p.state.value_kb, "params.state.value_kb"),
+        (p.cloud.rps, "params.cloud.rps"),
+        (p.resources.mem_mb, "params.resources.mem_mb"),
+    ] {
+        check(positive(x), field, "must be a positive number");
+    }
+    check(p.workers.lease_s > p.workers.report_s, "params.workers.lease_s", "must be longer than report_s");
+    check(p.workers.cancel_s > p.workers.lease_s, "params.workers.cancel_s", "must be longer than lease_s");
+    check(p.state.txn_ops > 1, "params.state.txn_ops", "must be at least 2");
+    check(
+        p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0,
+        "params.cloud.list_lag_s",
+        "must not be negative",
+    );
+    check(p.resources.fd_limit >= 64, "params.resources.fd_limit", "must be at least 64");
+    let mut teams = BTreeMap::new();
+    for t in &p.teams {
+        let fine = [t.cpus, t.cpus_max, t.gpus, t.gpus_max].iter().all(|x| x.is_finite() && (0.0..1e9).contains(x));
+        check(fine, &format!("params.teams.{}", t.name), "amounts must be numbers from 0");
+        let team = Team {
+            guarantee: (shaleshunt_wire::to_milli(t.cpus), shaleshunt_wire::to_milli(t.gpus)),
+            limit: (shaleshunt_wire::to_milli(t.cpus_max), shaleshunt_wire::to_milli(t.gpus_max)),
+        };
+        check(teams.insert(t.name.clone(), team).is_none(), &format!("params.teams.{}", t.name), "named twice");
+    }
+    if !problems.is_empty() {
+        return Err(problems);
+    }
+    let mut aims: BTreeMap<String, Aim> = BTreeMap::new();
+    for o in &p.objectives {
+        let Some(class) = &o.class else { continue };
+        let aim = aims.entry(class.clone()).or_default();
+        let least = |old: Option<f64>| match (old, o.within_s) {
+            (Some(a), Some(b)) => Some(a.min(b)),
+            (a, b) => a.or(b),
+        };
+        match o.kind.as_str() {
+            "wait" => aim.start_s = least(aim.start_s),
+            "finished" => aim.finish_s = least(aim.finish_s),
+            "deadline" => aim.deadline = true,
+            _ => {}
+        }
+    }
+    let settings = Settings {
+        label: file.label,
+        location: file.location,
+        peers: file.seeds.iter().map(|s| (s.label.clone(), s.location.clone())).collect(),
+        zones: p.zones.clone(),
+        teams,
+        aims,
+        report_s: p.workers.report_s,
+        lease_s: p.workers.lease_s,
+        cancel_s: p.workers.cancel_s,
+        state_rps: p.state.rps,
+        state_write_rps: p.state.write_rps,
+        value_kb: p.state.value_kb,
+        txn_ops: p.state.txn_ops,
+        cloud_rps: p.cloud.rps,
+        list_lag_s: p.cloud.list_lag_s,
+        mem_mb: p.resources.mem_mb,
+    };
+    let wiring = Wiring {
+        front: file.front,
+        back: file.back,
+        peers: file.seeds.into_iter().map(|s| (s.label, s.address)).collect(),
+        state: file.endpoints.state,
+        cloud: file.endpoints.cloud,
+        sockets: p.resources.fd_limit,
+    };
+    Ok((settings, wiring))
+}
--- /dev/null
+++ b/crates/core/src/front.rs
@@ -0,0 +1,326 @@
+//! Users' requests, on any node. Nothing here needs the leader: an acceptance or withdrawal is a
+//! conditional write, a poll a fresh read. Only final states, which never change, are remembered.
+
+use crate::io::*;
+use crate::leader::Leader;
+use crate::model::{FinalRecord, JobRecord, keys};
+use crate::node::{Ctx, Wait};
+use serde_json::json;
+use shaleshunt_wire::state::{Condition, Txn, Write};
+use shaleshunt_wire::user::{JobStatus, JobView, Shape, Submission};
+use shaleshunt_wire::{MAX_BODY, Room};
+use std::collections::{HashMap, VecDeque};
+
+/// What a front request's answer is for.
+#[derive(Debug)]
+pub(crate) enum FrontWait {
+    Accept(Vec<Pending>),
+    Job(Asked),
+    Final(Asked),
+    Withdraw(Asked),
+    Probe,
+}
+
+/// A submission on its way.
+#[derive(Debug)]
+pub(crate) struct Pending {
+    id: RequestId,
+    spec: Submission,
+    wall: u64,
+    since: u64,
+}
+
+/// A question about a job.
+#[derive(Debug)]
+pub(crate) struct Asked {
+    id: RequestId,
+    job: String,
+    why: Why,
+    tries: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Why {
+    Poll,
+    Resubmit,
+    /// Would be refused, but an accepted job never is.
+    Refuse(&'static str),
+    Withdraw,
+}
+
+/// Users' side of a node.
+#[derive(Default)]
+pub(crate) struct Front {
+    queue: VecDeque<Pending>,
+    flying: u32,
+    finals: HashMap<String, (JobStatus, u32)>,
+    order: VecDeque<String>,
+    /// When to try the direct way to the state service again.
+    pub probe_at: u64,
+    retry_at: u64,
+}
+
+const COME_BACK: u32 = 1;
+/// Transactions of acceptances under way at once.
+const FLYING: u32 = 2;
+
+fn unavailable(error: &'static str) -> Answer {
+    Answer::Problem { status: 503, error, retry_after: Some(COME_BACK) }
+}
+
+impl Front {
+    /// Why a job can never run, if so.
+    fn refusal(ctx: &Ctx, s: &Submission) -> Option<&'static str> {
+        let Some(team) = ctx.set.teams.get(&s.crew) else { return Some("unknown team") };
+        let catalog = ctx.catalog.as_ref()?;
+        let need = s.need();
+        let allowed = |f: &&shaleshunt_wire::cloud::Frame| {
+            s.frames.as_ref().is_none_or(|names| names.contains(&f.name))
+                && s.hall.as_ref().is_none_or(|h| f.halls.is_empty() || f.halls.contains(h))
+        };
+        if !catalog.frames.iter().filter(allowed).any(|f| f.room().fits(&need)) {
+            return Some("a task fits no allowed machine type");
+        }
+        let mut all = Room::default();
+        all.add(&need, if s.shape == Shape::Daemon { i64::from(s.pieces) } else { 1 });
+        if !team.allows(&all) {
+            return Some("more than the team's limit");
+        }
+        None
+    }
+
+    pub fn submit(&mut self, ctx: &mut Ctx, id: RequestId, spec: Submission) {
+        if let Some(view) = self.remembered(&spec.id) {
+            ctx.answer(id, Answer::Job(200, view));
+        } else if ctx.catalog.is_none() {
+            ctx.answer(id, unavailable("machine types not known yet"));
+        } else if ctx.state_down() {
+            ctx.answer(id, unavailable("state service does not answer"));
+        } else if let Some(error) = Self::refusal(ctx, &spec) {
+            let asked = Asked { id, job: spec.id, why: Why::Refuse(error), tries: 0 };
+            self.read(ctx, asked);
+        } else if serde_json::to_string(&spec).map_or(0, |t| t.len()) > ctx.set.value_bytes() {
+            ctx.answer(id, Answer::Problem { status: 400, error: "submission too large", retry_after: None });
+        } else {
+            self.queue.push_back(Pending { id, spec, wall: ctx.now.wall, since: ctx.now.mono });
+        }
+    }
+
+    pub fn status(&mut self, ctx: &mut Ctx, id: RequestId, job: String) {
+        self.ask(ctx, Asked { id, job, why: Why::Poll, tries: 0 });
+    }
+
+    pub fn withdraw(&mut self, ctx: &mut Ctx, id: RequestId, job: String) {
+        self.ask(ctx, Asked { id, job, why: Why::Withdraw, tries: 0 });
+    }
+
+    fn ask(&mut self, ctx: &mut Ctx, asked: Asked) {
+        if let Some(view) = self.remembered(&asked.job) {
+            ctx.answer(asked.id, Answer::Job(200, view));
+        } else if ctx.state_down() {
+            ctx.answer(asked.id, unavailable("state service does not answer"));
+        } else {
+            self.read(ctx, asked);
+        }
+    }
+
+    fn read(&mut self, ctx: &mut Ctx, asked: Asked) {
+        let key = format!("{}{}", keys::JOBS, asked.job);
+        ctx.state(StateRequest::Get { key }, Wait::Front(FrontWait::Job(asked)));
+    }
+
+    fn remembered(&self, job: &str) -> Option<JobView> {
+        self.finals.get(job).map(|&(status, n)| final_view(job, status, n))
+    }
+
+    fn remember(&mut self, job: &str, status: JobStatus, n: u32, cap: usize) {
+        if self.finals.insert(job.to_string(), (status, n)).is_none() {
+            self.order.push_back(job.to_string());
+            if self.order.len() > cap
+                && let Some(old) = self.order.pop_front()
+            {
+                self.finals.remove(&old);
+            }
+        }
+    }
+
+    /// Sends waiting acceptances, many in one transaction.
+    pub fn turn(&mut self, ctx: &mut Ctx) {
+        let patience = (shaleshunt_wire::SUBMIT_PATIENCE_S * 1000.0 * 0.6) as u64;
+        while self.queue.front().is_some_and(|p| ctx.now.mono.saturating_sub(p.since) > patience) {
+            if let Some(p) = self.queue.pop_front() {
+                ctx.answer(p.id, unavailable("too many at once"));
+            }
+        }
+        while self.flying < FLYING && !self.queue.is_empty() && ctx.now.mono >= self.retry_at {
+            let mut batch = Vec::new();
+            let mut txn = Txn { conditions: Vec::new(), writes: Vec::new() };
+            let mut bytes = 0;
+            while let Some(p) = self.queue.pop_front() {
+                let key = format!("{}{}", keys::JOBS, p.spec.id);
+                if txn.conditions.iter().any(|c| c.path == key) {
+                    // The same job twice in a batch: the second learns from the first.
+                    let asked = Asked { id: p.id, job: p.spec.id, why: Why::Resubmit, tries: 0 };
+                    self.read(ctx, asked);
+                    continue;
+                }
+                let v = json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false });
+                bytes += v.to_string().len() + key.len() * 3 + 64;
+                if bytes > MAX_BODY * 7 / 8 && !batch.is_empty() {
+                    self.queue.push_front(p);
+                    break;
+                }
+                txn.conditions.push(Condition { path: key.clone(), stamp: 0 });
+                txn.conditions.push(Condition { path: format!("{}{}", keys::FINALS, p.spec.id), stamp: 0 });
+                txn.writes.push(Write::set(key, v));
+                batch.push(p);
+                if batch.len() >= ctx.set.txn_ops.max(1) {
+                    break;
+                }
+            }
+            if !batch.is_empty() {
+                self.flying += 1;
+                ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Accept(batch)));
+            }
+        }
+    }
+
+    pub fn state_answer(
+        &mut self,
+        ctx: &mut Ctx,
+        wait: FrontWait,
+        result: Result<StateReply, IoError>,
+        counts: &HashMap<String, (u32, u32)>,
+        leader: Option<&Leader>,
+    ) {
+        // Final states are remembered in a small share of the memory limit.
+        let cap = (ctx.set.mem_mb * 1024.0 * 1024.0 / 100.0 / 200.0) as usize;
+        match wait {
+            FrontWait::Probe => {
+                if result.is_ok() {
+                    ctx.via = None;
+                    ctx.log(Severity::Info, "state service serves this node again".into());
+                }
+            }
+            FrontWait::Accept(batch) => {
+                self.flying -= 1;
+                self.accepted(ctx, batch, result);
+            }
+            FrontWait::Job(asked) => match result {
+                Ok(StateReply::Found(pair)) => {
+                    let Ok(rec) = serde_json::from_value::<JobRecord>(pair.v) else {
+                        ctx.answer(asked.id, unavailable("record not understood"));
+                        return;
+                    };
+                    if rec.x {
+                        self.remember(&asked.job, JobStatus::Aborted, rec.s.pieces, cap);
+                        let view = final_view(&asked.job, JobStatus::Aborted, rec.s.pieces);
+                        ctx.answer(asked.id, Answer::Job(200, view));
+                    } else if asked.why == Why::Withdraw {
+                        let key = format!("{}{}", keys::JOBS, asked.job);
+                        let txn = Txn {
+                            conditions: vec![Condition { path: key.clone(), stamp: pair.stamp }],
+                            writes: vec![Write::set(key, json!(JobRecord { x: true, ..rec }))],
+                        };
+                        ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Withdraw(asked)));
+                    } else {
+                        let (done, running) = match leader {
+                            Some(l) => l.count(&asked.job),
+                            None => counts.get(&asked.job).copied().unwrap_or((0, 0)),
+                        };
+                        let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
+                        let view = JobView { id: asked.job, status, done: Some(done), running: Some(running) };
+                        ctx.answer(asked.id, Answer::Job(200, view));
+                    }
+                }
+                // Not among the unfinished at this moment: either finished before, and then its
+                // final record is there by now, or never accepted until now.
+                Ok(StateReply::Missing) => {
+                    let key = format!("{}{}", keys::FINALS, asked.job);
+                    ctx.state(StateRequest::Get { key }, Wait::Front(FrontWait::Final(asked)));
+                }
+                _ => ctx.answer(asked.id, unavailable("state service does not answer")),
+            },
+            FrontWait::Final(mut asked) => match result {
+                Ok(StateReply::Found(pair)) => match serde_json::from_value::<FinalRecord>(pair.v) {
+                    Ok(rec) => {
+                        let status = if rec.x { JobStatus::Aborted } else { JobStatus::Done };
+                        self.remember(&asked.job, status, rec.n, cap);
+                        ctx.answer(asked.id, Answer::Job(200, final_view(&asked.job, status, rec.n)));
+                    }
+                    Err(_) => ctx.answer(asked.id, unavailable("record not understood")),
+                },
+                Ok(StateReply::Missing) => match asked.why {
+                    Why::Refuse(error) => {
+                        ctx.answer(asked.id, Answer::Problem { status: 422, error, retry_after: None });
+                    }
+                    // A conflict said that it is there; a read can only miss it if it was accepted
+                    // between the two reads.
+                    Why::Resubmit if asked.tries < 3 => {
+                        asked.tries += 1;
+                        self.read(ctx, asked);
+                    }
+                    Why::Resubmit => ctx.answer(asked.id, unavailable("try again")),
+                    Why::Poll | Why::Withdraw => {
+                        ctx.answer(asked.id, Answer::Problem { status: 404, error: "no such job", retry_after: None });
+                    }
+                },
+                _ => ctx.answer(asked.id, unavailable("state service does not answer")),
+            },
+            FrontWait::Withdraw(mut asked) => match result {
+                Ok(StateReply::Committed(_)) => {
+                    self.remember(&asked.job, JobStatus::Aborted, 0, cap);
+                    ctx.log(Severity::Info, format!("job {} withdrawn", asked.job));
+                    ctx.answer(asked.id, Answer::Job(200, final_view(&asked.job, JobStatus::Aborted, 0)));
+                }
+                Ok(StateReply::Conflict(_)) if asked.tries < 3 => {
+                    asked.tries += 1;
+                    self.read(ctx, asked);
+                }
+                _ => ctx.answer(asked.id, unavailable("state service does not answer")),
+            },
+        }
+    }
+
+    fn accepted(&mut self, ctx: &mut Ctx, batch: Vec<Pending>, result: Result<StateReply, IoError>) {
+        match result {
+            Ok(StateReply::Committed(_)) => {
+                for p in batch {
+                    ctx.log(Severity::Debug, format!("job {} accepted", p.spec.id));
+                    let view = JobView { id: p.spec.id, status: JobStatus::Queued, done: None, running: None };
+                    ctx.answer(p.id, Answer::Job(201, view));
+                }
+            }
+            Ok(StateReply::Conflict(failed)) => {
+                for p in batch.into_iter().rev() {
+                    let known = |f: &String| f.get(2..) == Some(p.spec.id.as_str());
+                    if failed.iter().any(known) {
+                        let asked = Asked { id: p.id, job: p.spec.id, why: Why::Resubmit, tries: 0 };
+                        self.read(ctx, asked);
+                    } else {
+                        self.queue.push_front(p);
+                    }
+                }
+            }
+            // Not carried out: again soon, within the user's patience.
+            Err(IoError::Throttled) => {
+                self.retry_at = ctx.now.mono + 60;
+                for p in batch.into_iter().rev() {
+                    self.queue.push_front(p);
+                }
+            }
+            // It may have been carried out or may be later. The user comes back and is told then:
+            // the repeated submission meets the key if it is there.
+            _ => {
+                for p in batch {
+                    ctx.answer(p.id, unavailable("state service does not answer"));
+                }
+            }
+        }
+    }
+}
+
+fn final_view(job: &str, status: JobStatus, n: u32) -> JobView {
+    let done = (status == JobStatus::Done).then_some(n);
+    JobView { id: job.to_string(), status, done, running: None }
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,23 @@
+//! The scheduler itself, as one deterministic owner of all state: commands go in, effects come
+//! out. It does no I/O and reads no clock; whoever runs it hands over the time with every batch.
+//!
+//! - [`node::Node`] is what a process runs: users' requests, leadership and, while it leads, the
+//!   scheduler.
+//! - `leader` keeps what only the leader knows; `commit` writes it to the state service; `floor`
+//!   talks to workers; `place` chooses machines; `rent` talks to the cloud.
+
+pub mod io;
+pub mod model;
+pub mod node;
+pub mod settings;
+
+mod commit;
+mod floor;
+mod front;
+mod leader;
+mod place;
+mod rent;
+
+pub use io::{Batch, Command, Effect, IoError, Now, Severity, StateReply, StateRequest};
+pub use node::Node;
+pub use settings::{Settings, Tuning};
--- /dev/null
+++ b/crates/core/src/node.rs
@@ -0,0 +1,503 @@
+//! One node: users' requests, leadership and, while it leads, the scheduler.
+
+use crate::front::{Front, FrontWait};
+use crate::io::*;
+use crate::leader::{LeadWait, Leader};
+use crate::model::keys;
+use crate::settings::{Settings, Tuning};
+use serde_json::{Value, json};
+use shaleshunt_peer::Frame;
+use shaleshunt_wire::cloud::Catalog;
+use shaleshunt_wire::state::{Condition, Txn, Write};
+use shaleshunt_wire::worker::Report;
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+
+/// What a request's answer is for.
+#[derive(Debug)]
+pub(crate) enum Wait {
+    /// A user's request.
+    Front(FrontWait),
+    /// Leadership.
+    Vote(VoteWait),
+    /// The leader's work; void in another epoch.
+    Lead(u64, LeadWait),
+    /// The catalogue, from the state service (`true`) or the cloud.
+    Catalog(bool),
+    /// Nothing.
+    Ignore,
+}
+
+/// Steps of leadership that wait for an answer.
+#[derive(Debug)]
+pub(crate) enum VoteWait {
+    Look,
+    Watch,
+    Hold,
+    Take { epoch: u64, pass: u64 },
+}
+
+/// What every part of the owner shares: time, settings, requests under way and effects.
+pub(crate) struct Ctx {
+    pub now: Now,
+    pub set: Arc<Settings>,
+    pub tune: Tuning,
+    pub out: Vec<Effect>,
+    pub catalog: Option<Catalog>,
+    next: RequestId,
+    waits: HashMap<RequestId, (Wait, u64)>,
+    /// When the state service last answered, and when it last did not.
+    pub state_ok: u64,
+    pub state_bad: u64,
+    /// Peer that passes requests to the state service for us.
+    pub via: Option<String>,
+}
+
+impl Ctx {
+    fn id(&mut self, wait: Wait) -> RequestId {
+        self.next += 1;
+        self.waits.insert(self.next, (wait, self.now.mono));
+        self.next
+    }
+    pub fn state(&mut self, request: StateRequest, wait: Wait) {
+        let id = self.id(wait);
+        let via = self.via.clone();
+        self.out.push(Effect::State(id, request, via));
+    }
+    pub fn cloud(&mut self, request: CloudRequest, wait: Wait) {
+        let id = self.id(wait);
+        self.out.push(Effect::Cloud(id, request));
+    }
+    pub fn orders(&mut self, to: String, orders: shaleshunt_wire::worker::Orders, wait: Wait) -> RequestId {
+        let id = self.id(wait);
+        self.out.push(Effect::Orders(id, to, orders));
+        id
+    }
+    pub fn answer(&mut self, id: RequestId, answer: Answer) {
+        self.out.push(Effect::Answer(id, answer));
+    }
+    pub fn log(&mut self, severity: Severity, text: String) {
+        self.out.push(Effect::Log(severity, text));
+    }
+    /// Whether the state service has lately failed us and not answered since: then users are told
+    /// at once to come back, in place of a wait for a time-out.
+    pub fn state_down(&self) -> bool {
+        self.state_bad > self.state_ok && self.now.mono.saturating_sub(self.state_ok) > self.set.report_ms() / 3
+    }
+}
+
+/// What a peer said last.
+#[derive(Debug, Clone, Default)]
+struct PeerView {
+    heard: u64,
+    epoch: u64,
+    leads: bool,
+    state_age_ms: u32,
+}
+
+/// A node of the service.
+pub struct Node {
+    pub(crate) ctx: Ctx,
+    pub(crate) front: Front,
+    leader: Option<Box<Leader>>,
+    /// Name and epoch of the leader, as last known.
+    foreman: Option<String>,
+    epoch: u64,
+    /// Leadership is looked at again at this time, unless a request for it is under way.
+    look_at: Option<u64>,
+    vote_ledger: u64,
+    peers: BTreeMap<String, PeerView>,
+    counts: HashMap<String, (u32, u32)>,
+    catalog_at: u64,
+    pulse_at: u64,
+    counts_at: u64,
+}
+
+impl Node {
+    /// A node that has just started.
+    pub fn new(set: Settings, tune: Tuning, now: Now) -> Node {
+        let peers = set.peers.iter().map(|(label, _)| (label.clone(), PeerView::default())).collect();
+        Node {
+            ctx: Ctx {
+                now,
+                set: Arc::new(set),
+                tune,
+                out: Vec::new(),
+                catalog: None,
+                next: 0,
+                waits: HashMap::new(),
+                state_ok: now.mono,
+                state_bad: 0,
+                via: None,
+            },
+            front: Front::default(),
+            leader: None,
+            foreman: None,
+            epoch: 0,
+            look_at: Some(now.mono),
+            vote_ledger: 0,
+            peers,
+            counts: HashMap::new(),
+            catalog_at: now.mono,
+            pulse_at: now.mono,
+            counts_at: now.mono,
+        }
+    }
+
+    /// Works through a batch of commands; returns what is to be done.
+    pub fn step(&mut self, now: Now, batch: Batch) -> Vec<Effect> {
+        self.ctx.now = now;
+        for command in batch {
+            self.take(command);
+        }
+        self.turn();
+        std::mem::take(&mut self.ctx.out)
+    }
+
+    /// Whether this node leads and has read everything.
+    pub fn leads(&self) -> bool {
+        self.leader.as_ref().is_some_and(|l| l.active)
+    }
+
+    fn take(&mut self, command: Command) {
+        match command {
+            Command::Submit(id, s) => self.front.submit(&mut self.ctx, id, *s),
+            Command::Status(id, job) => self.front.status(&mut self.ctx, id, job),
+            Command::Withdraw(id, job) => self.front.withdraw(&mut self.ctx, id, job),
+            Command::Up(id) => self.up(id),
+            Command::Checkin(id, report) => self.checkin(id, *report),
+            Command::State(id, result) => self.state_answer(id, result),
+            Command::Cloud(id, result) => match self.ctx.waits.remove(&id) {
+                Some((Wait::Catalog(_), _)) => {
+                    if let Ok(CloudReply::Catalog(c)) = result {
+                        self.got_catalog(c);
+                    }
+                }
+                Some((Wait::Lead(epoch, wait), _)) => {
+                    if let Some(l) = self.leader.as_mut().filter(|l| l.epoch == epoch) {
+                        l.cloud_answer(&mut self.ctx, wait, result);
+                    }
+                }
+                _ => {}
+            },
+            Command::Orders(id, result) => {
+                if let Some((Wait::Lead(epoch, LeadWait::Orders(loom)), _)) = self.ctx.waits.remove(&id)
+                    && let Some(l) = self.leader.as_mut().filter(|l| l.epoch == epoch)
+                {
+                    l.orders_answer(&mut self.ctx, &loom, id, result);
+                }
+            }
+            Command::Peer(from, frame) => self.peer(from, frame),
+            Command::PeerLost(from) => {
+                if let Some(p) = self.peers.get_mut(&from) {
+                    p.heard = 0;
+                }
+            }
+            Command::Tick => {}
+        }
+    }
+
+    fn up(&mut self, id: RequestId) {
+        // Refused by the state service alone and with nobody to pass requests on, users would be
+        // led here in vain. In an outage for all, staying healthy lets known final states be told.
+        let alone = self.ctx.state_down() && self.ctx.via.is_none() && self.served_peer().is_some();
+        let answer = if self.ctx.catalog.is_some() && !alone {
+            Answer::Healthy
+        } else {
+            Answer::Problem { status: 503, error: "not ready", retry_after: Some(1) }
+        };
+        self.ctx.answer(id, answer);
+    }
+
+    fn served_peer(&self) -> Option<String> {
+        let fresh = self.ctx.set.report_ms() / 2;
+        self.peers
+            .iter()
+            .filter(|(_, p)| p.heard > 0 && self.ctx.now.mono.saturating_sub(p.heard) < fresh)
+            .filter(|(_, p)| u64::from(p.state_age_ms) < fresh / 2)
+            .min_by_key(|(_, p)| p.state_age_ms)
+            .map(|(label, _)| label.clone())
+    }
+
+    fn checkin(&mut self, id: RequestId, report: Report) {
+        // A token above our epoch's shows that there is a newer leader. Any 200 of ours would be
+        // dropped and would hold the worker here while its lease runs out.
+        let theirs = report.baton >> crate::leader::TOKEN_BITS;
+        if let Some(l) = &self.leader {
+            if theirs > l.epoch {
+                self.deposed("a worker has seen a newer token");
+            }
+        }
+        let me = self.ctx.set.label.clone();
+        match &mut self.leader {
+            Some(l) if l.active => l.checkin(&mut self.ctx, id, report),
+            Some(_) => {
+                let busy = Answer::Problem { status: 503, error: "taking over", retry_after: None };
+                self.ctx.answer(id, busy);
+            }
+            None => {
+                let to = self.foreman.clone().filter(|f| *f != me);
+                let answer = match to {
+                    Some(to) => Answer::Elsewhere(Some(to)),
+                    None => Answer::Problem { status: 503, error: "no leader known", retry_after: None },
+                };
+                self.ctx.answer(id, answer);
+            }
+        }
+    }
+
+    fn state_answer(&mut self, id: RequestId, result: Result<StateReply, IoError>) {
+        let Some((wait, sent)) = self.ctx.waits.remove(&id) else { return };
+        match &result {
+            Err(IoError::NotSent | IoError::Unknown | IoError::Refused) => self.ctx.state_bad = self.ctx.now.mono,
+            _ => self.ctx.state_ok = self.ctx.now.mono,
+        }
+        match wait {
+            Wait::Front(w) => self.front.state_answer(&mut self.ctx, w, result, &self.counts, self.leader.as_deref()),
+            Wait::Vote(w) => self.vote_answer(w, result),
+            Wait::Catalog(_) => {
+                let found = match result {
+                    Ok(StateReply::Found(pair)) => serde_json::from_value::<Catalog>(pair.v).ok(),
+                    _ => None,
+                };
+                match found {
+                    Some(c) => self.got_catalog(c),
+                    None if self.ctx.catalog.is_none() => {
+                        self.ctx.cloud(CloudRequest::Catalog, Wait::Catalog(false));
+                    }
+                    None => {}
+                }
+            }
+            Wait::Lead(epoch, w) => {
+                if let Some(l) = self.leader.as_mut().filter(|l| l.epoch == epoch) {
+                    l.state_answer(&mut self.ctx, w, sent, result);
+                }
+            }
+            Wait::Ignore => {}
+        }
+    }
+
+    fn got_catalog(&mut self, c: Catalog) {
+        if !c.frames.is_empty() {
+            self.ctx.catalog = Some(c);
+        }
+    }
+
+    // Leadership. The lead key is attached to a lease of the state service; the epoch key only
+    // grows and is what every transaction of the leader conditions on.
+
+    fn look(&mut self) {
+        self.look_at = None;
+        self.ctx.state(StateRequest::Scan { prefix: "l/".into(), after: String::new() }, Wait::Vote(VoteWait::Look));
+    }
+
+    fn look_soon(&mut self, reports: f64) {
+        self.look_at = Some(self.ctx.now.mono + (self.ctx.set.report_s * reports * 1000.0) as u64);
+    }
+
+    fn vote_answer(&mut self, wait: VoteWait, result: Result<StateReply, IoError>) {
+        if self.leader.is_some() {
+            return;
+        }
+        match (wait, result) {
+            (VoteWait::Look, Ok(StateReply::Page(page))) => {
+                self.vote_ledger = page.ledger;
+                let get = |key: &str| page.pairs.iter().find(|p| p.path == key);
+                let epoch = get(keys::EPOCH);
+                let number = epoch.and_then(|p| p.v["epoch"].as_u64()).unwrap_or(0);
+                self.epoch = self.epoch.max(number);
+                match get(keys::LEAD) {
+                    Some(lead) => {
+                        let node = lead.v["node"].as_str().unwrap_or_default().to_string();
+                        if node == self.ctx.set.label {
+                            // Ours from before a restart, or from a try whose answer was lost.
+                            self.foreman = None;
+                            let pass = lead.v["pass"].as_u64().unwrap_or(0);
+                            self.ctx.state(StateRequest::EndHold { pass }, Wait::Ignore);
+                            self.look_soon(0.02);
+                        } else {
+                            self.foreman = Some(node);
+                            self.watch_lead();
+                        }
+                    }
+                    None => {
+                        self.foreman = None;
+                        let life_ms = self.lead_life();
+                        self.ctx.state(StateRequest::NewHold { life_ms }, Wait::Vote(VoteWait::Hold));
+                    }
+                }
+            }
+            (VoteWait::Hold, Ok(StateReply::Hold(pass))) => {
+                // Read again: the epoch's stamp must be no older than the lease.
+                self.ctx.state(
+                    StateRequest::Get { key: keys::EPOCH.into() },
+                    Wait::Vote(VoteWait::Take { epoch: 0, pass }),
+                );
+            }
+            (VoteWait::Take { epoch: 0, pass }, Ok(reply @ (StateReply::Found(_) | StateReply::Missing))) => {
+                let (stamp, number) = match &reply {
+                    StateReply::Found(p) => (p.stamp, p.v["epoch"].as_u64().unwrap_or(0)),
+                    _ => (0, 0),
+                };
+                let epoch = number.max(self.epoch) + 1;
+                let node: Value = json!({"node": self.ctx.set.label, "pass": pass});
+                let txn = Txn {
+                    conditions: vec![
+                        Condition { path: keys::LEAD.into(), stamp: 0 },
+                        Condition { path: keys::EPOCH.into(), stamp },
+                    ],
+                    writes: vec![
+                        Write::Set { set: keys::LEAD.into(), v: node, pass: Some(pass) },
+                        Write::set(keys::EPOCH, json!({"epoch": epoch, "node": self.ctx.set.label})),
+                    ],
+                };
+                self.ctx.state(StateRequest::Txn(txn), Wait::Vote(VoteWait::Take { epoch, pass }));
+            }
+            (VoteWait::Take { epoch, pass }, Ok(StateReply::Committed(ledger))) => {
+                self.epoch = epoch;
+                self.foreman = Some(self.ctx.set.label.clone());
+                self.ctx.log(Severity::Info, format!("epoch {epoch}: leads from here"));
+                self.leader = Some(Box::new(Leader::new(&mut self.ctx, epoch, ledger, pass)));
+                self.pulse_at = self.ctx.now.mono;
+            }
+            (VoteWait::Take { pass, .. }, Ok(_)) => {
+                self.ctx.state(StateRequest::EndHold { pass }, Wait::Ignore);
+                self.look();
+            }
+            (VoteWait::Watch, Ok(StateReply::News(news))) => {
+                if news.news.is_empty() {
+                    self.watch_lead();
+                } else {
+                    self.look();
+                }
+            }
+            (VoteWait::Watch, Ok(_)) => self.look(),
+            (_, _) => self.look_soon(0.07),
+        }
+    }
+
+    fn lead_life(&self) -> u64 {
+        (self.ctx.set.report_s * self.ctx.tune.lead_life * 1000.0).max(200.0) as u64
+    }
+
+    fn watch_lead(&mut self) {
+        let watch =
+            StateRequest::Watch { prefix: "l/".into(), after: self.vote_ledger, hold_ms: self.ctx.set.report_ms() };
+        self.ctx.state(watch, Wait::Vote(VoteWait::Watch));
+    }
+
+    fn deposed(&mut self, why: &str) {
+        if let Some(l) = self.leader.take() {
+            self.ctx.log(Severity::Info, format!("epoch {}: steps down: {why}", l.epoch));
+            self.ctx.state(StateRequest::EndHold { pass: l.pass }, Wait::Ignore);
+            self.foreman = None;
+            self.look_soon(0.01);
+        }
+    }
+
+    fn peer(&mut self, from: String, frame: Frame) {
+        let now = self.ctx.now.mono;
+        match frame {
+            Frame::Pulse { epoch, leader, leads, state_age_ms } => {
+                let Some(p) = self.peers.get_mut(&from) else { return };
+                *p = PeerView { heard: now, epoch, leads, state_age_ms };
+                if leads && epoch > self.epoch {
+                    // A newer leader than the one we know, ourselves perhaps.
+                    self.epoch = epoch;
+                    if self.leader.as_ref().is_some_and(|l| l.epoch < epoch) {
+                        self.deposed("a peer leads a newer epoch");
+                    }
+                    self.foreman = Some(leader);
+                }
+            }
+            Frame::Counts { epoch, jobs } => {
+                if epoch >= self.epoch && self.leader.is_none() {
+                    self.counts = jobs.into_iter().map(|(job, done, running)| (job, (done, running))).collect();
+                }
+            }
+            // Hello belongs to the connection, Relay and Relayed to the clients of the state service.
+            Frame::Hello { .. } | Frame::Relay { .. } | Frame::Relayed { .. } => {}
+        }
+    }
+
+    /// What is due by time, once a batch.
+    fn turn(&mut self) {
+        let now = self.ctx.now.mono;
+        if self.look_at.is_some_and(|t| now >= t) && self.leader.is_none() {
+            self.look();
+        }
+        if self.catalog_at <= now {
+            let known = self.ctx.catalog.is_some();
+            self.catalog_at = now + self.ctx.set.report_ms() * if known { 20 } else { 1 } / 3;
+            self.ctx.state(StateRequest::Get { key: keys::CATALOG.into() }, Wait::Catalog(true));
+        }
+        self.front.turn(&mut self.ctx);
+        let mut down = None;
+        if let Some(l) = &mut self.leader {
+            l.turn(&mut self.ctx);
+            down = l.down;
+        }
+        if let Some(why) = down {
+            self.deposed(why);
+        }
+        self.choose_via();
+        if self.pulse_at <= now {
+            self.pulse_at = now + self.ctx.set.report_ms() / 6;
+            // Through a peer is not served: nobody shall pass requests on through us.
+            let age = if self.ctx.via.is_some() { u64::from(u32::MAX) } else { now - self.ctx.state_ok.min(now) };
+            let pulse = Frame::Pulse {
+                epoch: self.epoch,
+                leader: self.foreman.clone().unwrap_or_default(),
+                leads: self.leader.is_some(),
+                state_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+            };
+            self.tell_peers(pulse);
+        }
+        if self.counts_at <= now {
+            self.counts_at = now + self.ctx.set.report_ms() / 3;
+            if let Some(l) = &self.leader {
+                let counts = Frame::Counts { epoch: l.epoch, jobs: l.counts() };
+                self.tell_peers(counts);
+            }
+        }
+    }
+
+    /// Goes through a peer while the state service refuses or does not reach only us; back to the
+    /// direct way now and then, to see whether it works again.
+    fn choose_via(&mut self) {
+        let now = self.ctx.now.mono;
+        match &self.ctx.via {
+            None if self.ctx.state_down() => {
+                if let Some(peer) = self.served_peer() {
+                    self.ctx.log(Severity::Info, format!("state service refuses this node alone: through {peer}"));
+                    self.ctx.via = Some(peer);
+                    self.front.probe_at = now + self.ctx.set.report_ms();
+                    if self.leader.is_none() {
+                        self.look();
+                    }
+                }
+            }
+            Some(peer) => {
+                let heard = self.peers.get(peer).map_or(0, |p| p.heard);
+                let lost = now.saturating_sub(heard) > self.ctx.set.report_ms() / 2;
+                if lost || self.ctx.state_down() {
+                    self.ctx.via = None;
+                    self.ctx.state_bad = now;
+                } else if now >= self.front.probe_at {
+                    self.front.probe_at = now + self.ctx.set.report_ms();
+                    let via = self.ctx.via.take();
+                    let probe = StateRequest::Get { key: keys::EPOCH.into() };
+                    self.ctx.state(probe, Wait::Front(FrontWait::Probe));
+                    self.ctx.via = via;
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn tell_peers(&mut self, frame: Frame) {
+        for label in self.peers.keys() {
+            self.ctx.out.push(Effect::Peer(label.clone(), frame.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/place.rs
@@ -0,0 +1,282 @@
+//! Which task goes where.
+//!
+//! A stage is a class of jobs: these jobs have one stage each, so the paper's remaining path is
+//! the task itself with the fetch of its image. A stage's queue holds deadline jobs, shortest
+//! estimate first; jobs without a deadline follow by age.
+
+use crate::io::*;
+use crate::leader::Leader;
+use crate::model::*;
+use crate::node::Ctx;
+use shaleshunt_wire::Room;
+use shaleshunt_wire::user::Urgency;
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+
+/// Most tasks stopped for others in one pass.
+const PREEMPTIONS: u32 = 8;
+
+impl Leader {
+    /// Estimated run time of a job's task: the owner's, corrected by what its class did.
+    pub(crate) fn estimate(&self, job: &Job) -> f64 {
+        let l = self.learned.get(&job.spec.jobline).copied().unwrap_or_default();
+        // The owner's word counts as much as ten tasks' worth of what was seen.
+        let weight = job.spec.expect_s * 10.0;
+        let bias = if weight > 0.0 { (l.actual + weight) / (l.expected + weight) } else { 1.0 };
+        job.spec.expect_s * bias.clamp(0.3, 3.0)
+    }
+
+    /// Time that fetching a job's image takes on a machine of the type it may use.
+    pub(crate) fn fetch_s(&self, ctx: &Ctx, job: &Job) -> f64 {
+        let rate = ctx
+            .catalog
+            .iter()
+            .flat_map(|c| &c.frames)
+            .map(|f| f.fetch_gb_per_s)
+            .filter(|r| *r > 0.0)
+            .fold(f64::INFINITY, f64::min);
+        if rate.is_finite() { job.spec.image_gb / rate } else { 0.0 }
+    }
+
+    /// Whether a job's rules allow this machine, room and zone balance aside.
+    pub(crate) fn allows(job: &Job, frame: &str, hall: &str, borrowed: bool) -> bool {
+        let s = &job.spec;
+        (s.borrowed || !borrowed)
+            && s.frames.as_ref().is_none_or(|f| f.iter().any(|n| n == frame))
+            && s.hall.as_ref().is_none_or(|h| h == hall)
+    }
+
+    /// Whether a further task of the job may be in this zone, given its other tasks.
+    pub(crate) fn zone_fits(job: &Job, hall: &str) -> bool {
+        let here = job.zones.get(hall).copied().unwrap_or(0);
+        if here >= job.zone_cap() {
+            return false;
+        }
+        !job.spec.one_zone || job.zones.iter().all(|(z, &n)| n == 0 || z == hall)
+    }
+
+    fn team_allows(&self, ctx: &Ctx, job: &Job) -> bool {
+        let Some(team) = ctx.set.teams.get(&job.spec.crew) else { return false };
+        let mut used = self.teams.get(&job.spec.crew).copied().unwrap_or_default();
+        used.add(&job.need, 1);
+        team.allows(&used)
+    }
+
+    /// Jobs with tasks to place, in order: by urgency, in it the stages' deadline queues shortest
+    /// first, then the others by age.
+    fn queue(&self, now: u64) -> Vec<Id> {
+        let mut list: Vec<(Reverse<Urgency>, bool, u64, u64, &Id)> = self
+            .jobs
+            .values()
+            .filter(|j| !j.aborted && !j.stale && now >= j.not_before && j.waiting() > 0)
+            .map(|j| {
+                let plain = j.due().is_none();
+                let estimate = if plain { 0 } else { (self.estimate(j) * 1000.0) as u64 };
+                (Reverse(j.spec.urgency), plain, estimate, j.at, &j.id)
+            })
+            .collect();
+        list.sort();
+        list.into_iter().map(|(.., id)| id.clone()).collect()
+    }
+
+    /// Places what can be placed.
+    pub(crate) fn schedule(&mut self, ctx: &mut Ctx) {
+        self.send_out(ctx);
+        let now = ctx.now.mono;
+        let queue = self.queue(now);
+        // What found no room once finds none again in this pass.
+        let mut full: Vec<(Room, bool, Option<String>, Option<Vec<String>>)> = Vec::new();
+        let mut stops = PREEMPTIONS;
+        for id in queue {
+            let mut from = 0;
+            loop {
+                let Some(job) = self.jobs.get(&id) else { break };
+                let Some(piece) = job.next_free(from) else { break };
+                if !self.team_allows(ctx, job) {
+                    break;
+                }
+                let s = &job.spec;
+                let kind = (job.need, s.borrowed, s.hall.clone(), s.frames.clone());
+                let free_choice = !s.one_zone && !s.scatter;
+                let mut loom = None;
+                if !full.contains(&kind) {
+                    loom = self.choose(ctx, job);
+                    if loom.is_none() && free_choice {
+                        full.push(kind);
+                    }
+                }
+                if loom.is_none() && stops > 0 && job.spec.urgency > Urgency::Normal {
+                    loom = self.make_room(ctx, &id);
+                    stops -= u32::from(loom.is_some());
+                }
+                let Some(loom) = loom else { break };
+                from = piece + 1;
+                let attempt = self.next_attempt();
+                let Some(job) = self.jobs.get_mut(&id) else { break };
+                job.cursor = job.cursor.max(piece);
+                let p = Placement {
+                    job: id.clone(),
+                    piece,
+                    attempt,
+                    need: job.need,
+                    stage: Stage::Planned,
+                    sent: false,
+                    since: now,
+                    running: None,
+                    halt: None,
+                };
+                self.put(&loom, p);
+            }
+        }
+    }
+
+    /// The machine for a job's next task: one that holds the image, then one that does not have to
+    /// be rented, then the fullest that still has room. Replicas keep apart.
+    fn choose(&self, ctx: &Ctx, job: &Job) -> Option<Id> {
+        let now = ctx.now.mono;
+        let cap = ctx.set.value_bytes() / 64;
+        let service = job.is_service();
+        self.looms
+            .values()
+            .filter(|m| m.free().fits(&job.need) && m.usable(now, &ctx.set) && m.places.len() < cap)
+            .filter(|m| Self::allows(job, &m.frame, &m.hall, m.borrowed) && Self::zone_fits(job, &m.hall))
+            .filter(|m| m.sick_times == 0 || m.places.is_empty())
+            .min_by_key(|m| {
+                let mates = if service { m.places.iter().filter(|p| p.job == job.id).count() } else { 0 };
+                let zone = if service { job.zones.get(&m.hall).copied().unwrap_or(0) } else { 0 };
+                let coming = m.places.iter().any(|p| {
+                    p.running.is_none() && self.jobs.get(&p.job).is_some_and(|j| j.spec.bundle == job.spec.bundle)
+                });
+                let image = if m.has_image(&job.spec.bundle) {
+                    0
+                } else if coming {
+                    1
+                } else {
+                    2
+                };
+                (m.sick_times > 0, image, mates, zone, !m.owned, m.free().cores, m.id.clone())
+            })
+            .map(|m| m.id.clone())
+    }
+
+    /// Stops less urgent tasks for one of this job: on the machine where the least run time is
+    /// lost. A task that cannot save ends at once, so the new one starts with the same message.
+    fn make_room(&mut self, ctx: &mut Ctx, id: &Id) -> Option<Id> {
+        let now = ctx.now.mono;
+        let job = self.jobs.get(id)?;
+        let mut best: Option<(u64, Id, Vec<u64>)> = None;
+        for m in self.looms.values() {
+            if !m.usable(now, &ctx.set)
+                || m.sick_times > 0
+                || !Self::allows(job, &m.frame, &m.hall, m.borrowed)
+                || !Self::zone_fits(job, &m.hall)
+                || !m.room.fits(&job.need)
+            {
+                continue;
+            }
+            let mut victims: Vec<(u64, &Placement)> = m
+                .places
+                .iter()
+                .filter(|p| p.halt.is_none())
+                .filter_map(|p| self.jobs.get(&p.job).map(|j| (p, j)))
+                .filter(|(_, j)| j.spec.urgency < job.spec.urgency && j.spec.mark_every_s <= 0.0)
+                .map(|(p, _)| (p.running.map_or(0, |r| now.saturating_sub(r)), p))
+                .collect();
+            victims.sort_by_key(|(ran, p)| (*ran, p.attempt));
+            let mut free = m.free();
+            let (mut lost, mut list) = (0, Vec::new());
+            for (ran, p) in victims {
+                if free.fits(&job.need) {
+                    break;
+                }
+                free.add(&p.need, 1);
+                lost += ran;
+                list.push(p.attempt);
+            }
+            if free.fits(&job.need) && !list.is_empty() && best.as_ref().is_none_or(|(l, ..)| lost < *l) {
+                best = Some((lost, m.id.clone(), list));
+            }
+        }
+        let (_, loom, victims) = best?;
+        ctx.log(Severity::Debug, format!("machine {loom}: {} tasks make room for {id}", victims.len()));
+        for attempt in victims {
+            let Some(m) = self.looms.get_mut(&loom) else { continue };
+            let Some(p) = m.places.iter_mut().find(|p| p.attempt == attempt) else { continue };
+            if p.sent {
+                p.halt = Some(0.0);
+                m.push = true;
+            } else {
+                self.release(now, &loom, attempt, false);
+            }
+        }
+        Some(loom)
+    }
+
+    /// Marks deadline jobs whose tasks go to rented machines. Per stage: from the tail, what the
+    /// owned slots cannot work off by the deadline; then whatever has less slack than the boot
+    /// allowance, counting queued work ahead over the slots and the rest of its own path.
+    fn send_out(&mut self, ctx: &mut Ctx) {
+        let allowance = ctx.tune.boot_allowance_s;
+        let mut stages: BTreeMap<&str, Vec<(u64, &Id)>> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| !j.aborted && j.due().is_some() && j.waiting() > 0) {
+            let estimate = (self.estimate(j) * 1000.0) as u64;
+            stages.entry(&j.spec.jobline).or_default().push((estimate, &j.id));
+        }
+        let mut sent: Vec<Id> = Vec::new();
+        for (stage, mut queue) in stages {
+            queue.sort();
+            let Some(first) = queue.first().and_then(|(_, id)| self.jobs.get(*id)) else { continue };
+            let slots = self.slots(stage, &first.need).max(1) as f64;
+            let left = |j: &Job| (j.due().unwrap_or(0) as f64 - ctx.now.wall as f64) / 1000.0;
+            let mut total: f64 = queue
+                .iter()
+                .filter_map(|(e, id)| self.jobs.get(*id).map(|j| *e as f64 / 1000.0 * f64::from(j.waiting())))
+                .sum();
+            let horizon = queue.iter().filter_map(|(_, id)| self.jobs.get(*id)).map(left).fold(0.0, f64::max);
+            for (e, id) in queue.iter().rev() {
+                if total <= slots * horizon {
+                    break;
+                }
+                if let Some(j) = self.jobs.get(*id) {
+                    total -= *e as f64 / 1000.0 * f64::from(j.waiting());
+                    sent.push((*id).clone());
+                }
+            }
+            let mut ahead = 0.0;
+            for (e, id) in &queue {
+                let Some(j) = self.jobs.get(*id) else { continue };
+                let own = *e as f64 / 1000.0;
+                let slack = left(j) - ahead / slots - own - self.fetch_s(ctx, j);
+                if slack < allowance {
+                    sent.push((*id).clone());
+                }
+                ahead += own * f64::from(j.waiting());
+            }
+        }
+        for id in sent {
+            if let Some(j) = self.jobs.get_mut(&id)
+                && !j.sent_out
+            {
+                j.sent_out = true;
+                ctx.log(Severity::Debug, format!("job {id} goes to rented machines"));
+            }
+        }
+    }
+
+    /// A stage's owned slots: its tasks that fit in owned room now free or held by it.
+    fn slots(&self, stage: &str, need: &Room) -> i64 {
+        self.looms
+            .values()
+            .filter(|m| m.owned && m.heard.is_some())
+            .map(|m| {
+                let mut room = m.free();
+                for p in &m.places {
+                    if self.jobs.get(&p.job).is_some_and(|j| j.spec.jobline == stage) {
+                        room.add(&p.need, 1);
+                    }
+                }
+                room.times(need, 100_000)
+            })
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/core/src/rent.rs
@@ -0,0 +1,376 @@
+//! The cloud: its list, hires and returns.
+
+use crate::io::*;
+use crate::leader::{HireState, LeadWait, Leader};
+use crate::model::*;
+use crate::node::Ctx;
+use shaleshunt_wire::cloud::{Hire, Listed, ListedStatus};
+use shaleshunt_wire::{MAX_HIRE, MAX_RETURN, Room};
+use std::collections::BTreeSet;
+
+/// A machine that has not come up after so many times its type's usual boot time is returned.
+const NEVER_BOOTS: f64 = 4.0;
+
+impl Leader {
+    /// What is due in rounds.
+    pub(crate) fn rounds(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        if now >= self.prices_at {
+            self.prices_at = now + ctx.set.report_ms() * 10;
+            let wait = self.wait(LeadWait::Catalog);
+            ctx.cloud(CloudRequest::Catalog, wait);
+        }
+        if now >= self.list_at && !self.listing {
+            self.listing = true;
+            self.list_seen.clear();
+            let wait = self.wait(LeadWait::List);
+            ctx.cloud(CloudRequest::List { after: String::new() }, wait);
+        }
+        self.ask_hires(ctx);
+        if now >= self.round_at {
+            self.round_at = now + (ctx.tune.round_s * 1000.0) as u64;
+            self.replan = true;
+            if self.owned.is_some() {
+                self.rent(ctx);
+            }
+            self.give_back(ctx);
+        }
+    }
+
+    pub(crate) fn cloud_answer(&mut self, ctx: &mut Ctx, wait: LeadWait, result: Result<CloudReply, IoError>) {
+        let now = ctx.now.mono;
+        match (wait, result) {
+            (LeadWait::Catalog, Ok(CloudReply::Catalog(c))) if !c.frames.is_empty() => {
+                // Kept at the state service too, so that nodes know the types in a cloud outage.
+                let types = |c: &shaleshunt_wire::cloud::Catalog| {
+                    c.frames.iter().map(|f| (f.name.clone(), f.room(), f.halls.clone())).collect::<Vec<_>>()
+                };
+                self.catalog_dirty |=
+                    self.catalog_stamp.is_none() || ctx.catalog.as_ref().is_none_or(|old| types(old) != types(&c));
+                for m in self.looms.values_mut() {
+                    if let Some(f) = c.frame(&m.frame) {
+                        m.room = f.room();
+                    }
+                }
+                ctx.catalog = Some(c);
+                self.replan = true;
+            }
+            (LeadWait::Catalog, _) => self.prices_at = now + ctx.set.report_ms() / 2,
+            (LeadWait::List, Ok(CloudReply::Page(page))) => {
+                let last = page.looms.last().map(|m| m.id.clone());
+                self.list_seen.extend(page.looms);
+                match last {
+                    Some(after) if page.truncated => {
+                        let wait = self.wait(LeadWait::List);
+                        ctx.cloud(CloudRequest::List { after }, wait);
+                    }
+                    _ => {
+                        self.listing = false;
+                        self.list_at = now + ((ctx.set.list_lag_s.max(1.0) * 1000.0) as u64);
+                        let list = std::mem::take(&mut self.list_seen);
+                        self.listed(ctx, list);
+                    }
+                }
+            }
+            (LeadWait::List, _) => {
+                self.listing = false;
+                self.list_at = now + ctx.set.report_ms() / 2;
+            }
+            (LeadWait::Hire(name), result) => self.hired(ctx, &name, result),
+            (LeadWait::Return(names), Ok(CloudReply::Returned)) => {
+                for id in names {
+                    self.loom_gone(ctx, &id);
+                }
+            }
+            (LeadWait::Return(names), _) => {
+                for id in names {
+                    if let Some(m) = self.looms.get_mut(&id) {
+                        m.returning = false;
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// A machine is proven gone, by a return that was answered 200.
+    fn loom_gone(&mut self, ctx: &mut Ctx, id: &Id) {
+        let attempts: Vec<u64> =
+            self.looms.get(id).map(|m| m.places.iter().map(|p| p.attempt).collect()).unwrap_or_default();
+        for attempt in attempts {
+            self.release(ctx.now.mono, id, attempt, false);
+        }
+        if let Some(m) = self.looms.remove(id) {
+            ctx.log(Severity::Info, format!("machine {id} returned"));
+            if m.stamp > 0 || m.writing {
+                self.gone.insert(id.clone(), m.stamp);
+            }
+        }
+        self.replan = true;
+    }
+
+    /// Takes in the cloud's list. It proves nothing about what is gone.
+    fn listed(&mut self, ctx: &mut Ctx, list: Vec<Listed>) {
+        if self.owned.is_none() && !list.is_empty() {
+            // The service begins: what is up now is owned.
+            let owned: BTreeSet<String> = list
+                .iter()
+                .filter(|m| !m.borrowed && m.status == ListedStatus::Running)
+                .map(|m| m.id.clone())
+                .collect();
+            ctx.log(Severity::Info, format!("{} machines are owned", owned.len()));
+            self.owned = Some(owned);
+            self.owned_dirty = true;
+        }
+        for x in list {
+            let id: Id = x.id.as_str().into();
+            if self.gone.contains_key(&id) {
+                continue;
+            }
+            let owned = self.owned.as_ref().is_some_and(|o| o.contains(&x.id));
+            if !self.looms.contains_key(&id) {
+                // Lists lag: a machine that we returned lately may still be shown. It is taken for
+                // new and found silent; its return is answered 200 again.
+                let mut m = self.new_loom(ctx, &id, &x.frame, &x.hall, x.borrowed, owned);
+                m.hired = ctx.now.wall.saturating_sub((x.age_s.clamp(0.0, 1e9) * 1000.0) as u64);
+                // Known by list only: recorded when it reports.
+                m.dirty = false;
+                self.looms.insert(id.clone(), m);
+            }
+            let Some(m) = self.looms.get_mut(&id) else { continue };
+            m.listed = true;
+            m.owned = owned;
+            if m.endpoint.is_empty() {
+                m.endpoint = x.endpoint;
+            }
+            if x.status == ListedStatus::Failed {
+                m.leaving = true;
+            }
+        }
+    }
+
+    /// Asks for hires that are recorded; the same name until there is an answer.
+    fn ask_hires(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        let due: Vec<Hire> = self
+            .hires
+            .values()
+            .filter(|h| h.stamp > 0 && h.answer.is_none() && !h.asking && now >= h.retry_at)
+            .map(|h| h.hire.clone())
+            .collect();
+        for hire in due {
+            if let Some(h) = self.hires.get_mut(&hire.hire) {
+                h.asking = true;
+            }
+            let wait = self.wait(LeadWait::Hire(hire.hire.clone()));
+            ctx.cloud(CloudRequest::Hire(hire), wait);
+        }
+    }
+
+    fn hired(&mut self, ctx: &mut Ctx, name: &str, result: Result<CloudReply, IoError>) {
+        let now = ctx.now.mono;
+        let Some(h) = self.hires.get_mut(name) else { return };
+        h.asking = false;
+        let hire = h.hire.clone();
+        let place = (hire.frame.clone(), hire.hall.clone(), hire.borrowed);
+        match result {
+            Ok(CloudReply::Hired(looms)) => {
+                let ids: Vec<Id> = looms.iter().map(|n| n.as_str().into()).collect();
+                h.answer = Some(ids.clone());
+                ctx.log(Severity::Info, format!("hire {name}: {} of {} in {}", ids.len(), hire.count, hire.hall));
+                if (ids.len() as u32) < hire.count {
+                    self.refused.insert(place, (now + ctx.set.report_ms() * 3, 1));
+                } else {
+                    self.refused.remove(&place);
+                }
+                for id in ids {
+                    if !self.looms.contains_key(&id) {
+                        let m = self.new_loom(ctx, &id, &hire.frame, &hire.hall, hire.borrowed, false);
+                        self.looms.insert(id, m);
+                    }
+                }
+            }
+            Ok(CloudReply::NoCapacity) => {
+                h.answer = Some(Vec::new());
+                let times = self.refused.get(&place).map_or(0, |r| r.1) + 1;
+                let wait = ctx.set.report_ms() * 2 * u64::from(1u32 << (times - 1).min(2));
+                ctx.log(Severity::Debug, format!("hire {name}: no capacity in {}", hire.hall));
+                self.refused.insert(place, (now + wait, times));
+            }
+            Err(IoError::Rejected(why)) => {
+                ctx.log(Severity::Error, format!("hire {name} rejected: {why}"));
+                h.answer = Some(Vec::new());
+            }
+            Ok(_) | Err(_) => h.retry_at = now + ctx.set.report_ms() / 3,
+        }
+    }
+
+    /// How long a job's tasks wait for owned room before room is rented for them. A deadline job
+    /// rents when its slack says so. Others wait, but no longer than their class's aim leaves once
+    /// a machine's boot is counted.
+    fn rents(&self, ctx: &Ctx, job: &Job, boot_s: f64) -> bool {
+        if job.due().is_some() {
+            return job.sent_out;
+        }
+        let aim = ctx.set.aims.get(&job.spec.jobline).copied().unwrap_or_default();
+        let mut wait = ctx.tune.plain_wait_s;
+        if let Some(s) = aim.start_s {
+            wait = wait.min(s - boot_s * 2.0);
+        }
+        if let Some(s) = aim.finish_s {
+            wait = wait.min(s - boot_s * 2.0 - self.estimate(job));
+        }
+        ctx.now.wall.saturating_sub(job.at) as f64 / 1000.0 >= wait
+    }
+
+    /// Rents the cheapest fitting machines for what is sent out and not covered by rented room
+    /// that is free or on its way.
+    fn rent(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        let Some(catalog) = ctx.catalog.clone() else { return };
+        let boot_s = catalog.frames.iter().map(|f| f.boot_s).fold(0.0, f64::max);
+        // Room free or on its way: what is booting, and what a hire under way will bring.
+        struct Space {
+            frame: String,
+            hall: String,
+            borrowed: bool,
+            free: Room,
+        }
+        let mut spaces: Vec<Space> = Vec::new();
+        for m in self.looms.values() {
+            let coming = m.heard.is_none() && !m.leaving;
+            if m.usable(now, &ctx.set) || coming {
+                let (frame, hall) = (m.frame.clone(), m.hall.clone());
+                spaces.push(Space { frame, hall, borrowed: m.borrowed, free: m.free() });
+            }
+        }
+        for h in self.hires.values().filter(|h| h.answer.is_none()) {
+            let Some(f) = catalog.frame(&h.hire.frame) else { continue };
+            for _ in 0..h.hire.count {
+                let (frame, hall) = (h.hire.frame.clone(), h.hire.hall.clone());
+                spaces.push(Space { frame, hall, borrowed: h.hire.borrowed, free: f.room() });
+            }
+        }
+        let mut wanted: Vec<(Hire, Room)> = Vec::new();
+        let mut team_used = self.teams.clone();
+        let mut budget = ctx.tune.hires_per_round as u32;
+        for job in self.jobs.values() {
+            if job.aborted || job.not_before > now || !self.rents(ctx, job, boot_s) {
+                continue;
+            }
+            let Some(team) = ctx.set.teams.get(&job.spec.crew) else { continue };
+            for _ in 0..job.waiting() {
+                let used = team_used.entry(job.spec.crew.clone()).or_default();
+                let mut more = *used;
+                more.add(&job.need, 1);
+                if !team.allows(&more) {
+                    break;
+                }
+                let space = spaces.iter_mut().find(|s| {
+                    s.free.fits(&job.need)
+                        && Self::allows(job, &s.frame, &s.hall, s.borrowed)
+                        && Self::zone_fits(job, &s.hall)
+                });
+                if let Some(s) = space {
+                    s.free.add(&job.need, -1);
+                    *used = more;
+                    continue;
+                }
+                if budget == 0 {
+                    break;
+                }
+                let Some((frame, hall, borrowed)) = self.cheapest(ctx, job, &catalog, &wanted) else { break };
+                let room = catalog.frame(&frame).map(|f| f.room()).unwrap_or_default();
+                let mut free = room;
+                free.add(&job.need, -1);
+                spaces.push(Space { frame: frame.clone(), hall: hall.clone(), borrowed, free });
+                *used = more;
+                budget -= 1;
+                let same = |h: &Hire| h.frame == frame && h.hall == hall && h.borrowed == borrowed;
+                match wanted.iter_mut().find(|(h, _)| same(h) && h.count < MAX_HIRE) {
+                    Some((h, _)) => h.count += 1,
+                    None => wanted.push((Hire { hire: String::new(), frame, hall, borrowed, count: 1 }, room)),
+                }
+            }
+        }
+        for (mut hire, _) in wanted {
+            self.hire_count += 1;
+            hire.hire = format!("{}-{}-{}", ctx.set.label, self.epoch, self.hire_count);
+            let state =
+                HireState { hire, stamp: 0, writing: false, asking: false, retry_at: 0, answer: None, since: now };
+            self.hires.insert(state.hire.hire.clone(), state);
+        }
+    }
+
+    /// The cheapest type, kind and zone for a job's task that was not refused lately; among equal
+    /// prices the zone with the fewest rented machines, so that one wave takes little.
+    fn cheapest(
+        &self,
+        ctx: &Ctx,
+        job: &Job,
+        catalog: &shaleshunt_wire::cloud::Catalog,
+        wanted: &[(Hire, Room)],
+    ) -> Option<(String, String, bool)> {
+        let mut best: Option<((i64, u32), (String, String, bool))> = None;
+        for f in catalog.frames.iter().filter(|f| f.room().fits(&job.need)) {
+            for hall in &f.halls {
+                for borrowed in [true, false] {
+                    let place = (f.name.clone(), hall.clone(), borrowed);
+                    let refused = self.refused.get(&place).is_some_and(|r| r.0 > ctx.now.mono);
+                    if refused || !Self::allows(job, &f.name, hall, borrowed) || !Self::zone_fits(job, hall) {
+                        continue;
+                    }
+                    let price = if borrowed && f.market_price > 0.0 { f.market_price } else { f.price };
+                    let there =
+                        self.looms.values().filter(|m| m.hall == *hall && m.borrowed == borrowed).count() as u32;
+                    let coming: u32 = wanted
+                        .iter()
+                        .filter(|(h, _)| h.hall == *hall && h.borrowed == borrowed)
+                        .map(|(h, _)| h.count)
+                        .sum();
+                    let rank = ((price * 1000.0) as i64, there + coming);
+                    if best.as_ref().is_none_or(|(b, _)| rank < *b) {
+                        best = Some((rank, place));
+                    }
+                }
+            }
+        }
+        best.map(|(_, place)| place)
+    }
+
+    /// Returns machines that failed, never came up, went silent or have had no work for long.
+    fn give_back(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        let set = ctx.set.clone();
+        let silence = (set.report_s * ctx.tune.silent_reports * 1000.0) as u64;
+        let mut names: Vec<Id> = Vec::new();
+        for m in self.looms.values_mut() {
+            if m.returning {
+                continue;
+            }
+            let boot_s = ctx.catalog.as_ref().and_then(|c| c.frame(&m.frame)).map_or(set.lease_s, |f| f.boot_s);
+            let age = ctx.now.wall.saturating_sub(m.hired) as f64 / 1000.0;
+            let here = now.saturating_sub(self.took_at);
+            match m.heard {
+                None if m.owned => {}
+                None if m.shift > 0 => m.leaving |= here > silence * 2,
+                None => m.leaving |= age > boot_s * NEVER_BOOTS + set.report_s && here > silence * 2,
+                Some(h) if !m.owned => {
+                    m.leaving |= now.saturating_sub(h) > silence;
+                    m.leaving |= m.places.is_empty()
+                        && (m.warned.is_some() || now.saturating_sub(m.idle_since) as f64 > ctx.tune.idle_s * 1000.0);
+                }
+                Some(_) => {}
+            }
+            if m.leaving && names.len() < MAX_RETURN {
+                m.returning = true;
+                names.push(m.id.clone());
+            }
+        }
+        if !names.is_empty() {
+            let wait = self.wait(LeadWait::Return(names.clone()));
+            let request = CloudRequest::Return(names.iter().map(|n| n.to_string()).collect());
+            ctx.cloud(request, wait);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,150 @@
+//! Settings: what the platform hands over, and the operators' own.
+
+use shaleshunt_wire::Room;
+use std::collections::BTreeMap;
+
+/// A team's guarantee and limit; zero means none.
+#[derive(Debug, Clone, Default)]
+pub struct Team {
+    /// Guaranteed CPUs and cards, in thousandths.
+    pub guarantee: (i64, i64),
+    /// Most CPUs and cards, in thousandths; 0 for no limit.
+    pub limit: (i64, i64),
+}
+
+impl Team {
+    /// Whether `used` is within the limit.
+    pub fn allows(&self, used: &Room) -> bool {
+        (self.limit.0 == 0 || used.cores <= self.limit.0) && (self.limit.1 == 0 || used.cards <= self.limit.1)
+    }
+    /// Whether `used` is within the guarantee.
+    pub fn guarantees(&self, used: &Room) -> bool {
+        used.cores <= self.guarantee.0 && used.cards <= self.guarantee.1.max(0)
+    }
+}
+
+/// What a class of jobs is expected to do.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Aim {
+    /// Tasks start within this time.
+    pub start_s: Option<f64>,
+    /// Jobs are done within this time (the shortest stated).
+    pub finish_s: Option<f64>,
+    /// Jobs have deadlines that count.
+    pub deadline: bool,
+}
+
+/// The platform's settings, as the owner needs them.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// This node.
+    pub label: String,
+    /// Its zone.
+    pub location: String,
+    /// The other nodes, with their zones.
+    pub peers: Vec<(String, String)>,
+    /// All zones.
+    pub zones: Vec<String>,
+    /// Teams by name.
+    pub teams: BTreeMap<String, Team>,
+    /// Aims by class.
+    pub aims: BTreeMap<String, Aim>,
+    /// Interval between reports.
+    pub report_s: f64,
+    /// Workers' lease.
+    pub lease_s: f64,
+    /// Time in which a cancelled job must be gone.
+    pub cancel_s: f64,
+    /// State service: requests a second.
+    pub state_rps: f64,
+    /// State service: writes a second.
+    pub state_write_rps: f64,
+    /// State service: KiB per value.
+    pub value_kb: f64,
+    /// State service: writes per transaction.
+    pub txn_ops: usize,
+    /// Cloud: requests a second.
+    pub cloud_rps: f64,
+    /// Cloud: how old a list is.
+    pub list_lag_s: f64,
+    /// Memory limit.
+    pub mem_mb: f64,
+}
+
+macro_rules! tuning {
+    ($($(#[doc = $doc:literal])* $field:ident = $key:literal : $default:expr, $low:expr, $high:expr;)*) => {
+        /// The operators' own settings. Every one has a default; `deploy/shaleshunt.properties` lists them.
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct Tuning { $($(#[doc = $doc])* pub $field: f64,)* }
+        impl Default for Tuning {
+            fn default() -> Self { Tuning { $($field: $default,)* } }
+        }
+        impl Tuning {
+            /// Every key with its value and its least and greatest value.
+            pub fn entries(&self) -> Vec<(&'static str, f64, f64, f64)> { vec![$(($key, self.$field, $low, $high),)*] }
+            /// Sets a key; says what is wrong with it otherwise.
+            pub fn set(&mut self, key: &str, value: &str) -> Result<(), String> {
+                let number: f64 = value.trim().parse().map_err(|_| format!("{key}: not a number: {value}"))?;
+                match key {
+                    $($key => {
+                        if !(number.is_finite() && ($low..=$high).contains(&number)) {
+                            return Err(format!("{key}: must be from {} to {}, not {value}", $low, $high));
+                        }
+                        self.$field = number;
+                    })*
+                    _ => return Err(format!("{key}: no such property")),
+                }
+                Ok(())
+            }
+        }
+    };
+}
+
+tuning! {
+    /// A task with less slack than this goes to rented machines (design: boot allowance).
+    boot_allowance_s = "slack.boot-allowance-s": 60.0, 0.0, 3600.0;
+    /// Jobs without a deadline rent after this wait.
+    plain_wait_s = "rent.plain-wait-s": 60.0, 0.0, 86400.0;
+    /// Interval between rounds of renting.
+    round_s = "rent.round-s": 1.0, 0.1, 60.0;
+    /// A rented machine without work goes back after this time.
+    idle_s = "rent.idle-s": 180.0, 1.0, 86400.0;
+    /// Most machines asked for in one round.
+    hires_per_round = "rent.machines-per-round": 12.0, 1.0, 50.0;
+    /// Term of a block of owned machines.
+    block_term_s = "block.term-s": 30.0, 1.0, 600.0;
+    /// The leader's lease at the state service, in reporting intervals of the workers.
+    lead_life = "lead.life-reports": 0.7, 0.2, 10.0;
+    /// Share of the state service's write rate that the leader uses.
+    write_share = "state.write-share": 0.7, 0.1, 1.0;
+    /// A rented machine silent for so many reporting intervals is returned.
+    silent_reports = "floor.silent-reports": 3.0, 2.0, 100.0;
+    /// A machine that failed is tried again after this time, doubled each time.
+    sick_s = "floor.sick-s": 45.0, 1.0, 3600.0;
+}
+
+impl Settings {
+    /// How long a node may go without news from the state service and still renew workers' leases:
+    /// a cancellation that it missed just after its last news must be over, lease and all, within
+    /// `cancel_s`. The margin covers clocks (0.05% each way) and timers that fire late.
+    pub fn blind_ms(&self) -> u64 {
+        let margin = (self.cancel_s * 0.04).max(0.5);
+        ((self.cancel_s - self.lease_s * 1.002 - margin).max(0.0) * 1000.0) as u64
+    }
+    /// Time after which a lease has surely run out, counted from the last report received.
+    pub fn lease_over_ms(&self) -> u64 {
+        (self.lease_s * 1002.0 + self.report_s * 100.0) as u64
+    }
+    /// Reporting interval in milliseconds.
+    pub fn report_ms(&self) -> u64 {
+        (self.report_s * 1000.0) as u64
+    }
+    /// Tasks whose outcomes are kept in one key: a bitmap of a third of the value's limit.
+    pub fn chunk_pieces(&self) -> u32 {
+        ((self.value_kb * 1024.0 * 2.0) as u32 / 64 * 64).max(64)
+    }
+    /// Bytes that one value may have, with room for its frame.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0 * 0.95) as usize
+    }
+}
--- /dev/null
+++ b/crates/net/src/client.rs
@@ -0,0 +1,124 @@
+//! One kind of HTTP client for all outside services: kept connections, one request on each at a
+//! time, and a clear word on whether a request may have been carried out.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::SendRequest;
+use hyper::{Method, Request};
+use hyper_util::rt::TokioIo;
+use shaleshunt_core::IoError;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::Semaphore;
+
+/// Largest answer taken.
+const MAX_ANSWER: usize = 8 * 1024 * 1024;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// Connections to any number of addresses.
+#[derive(Clone)]
+pub struct Client {
+    idle: Rc<RefCell<HashMap<String, Vec<Sender>>>>,
+    keep: usize,
+    permits: Rc<Semaphore>,
+    connect: Duration,
+}
+
+impl Client {
+    /// A client that keeps up to `keep` connections to an address and has at most `most` requests
+    /// under way.
+    pub fn new(keep: usize, most: usize, connect: Duration) -> Client {
+        Client { idle: Rc::default(), keep, permits: Rc::new(Semaphore::new(most)), connect }
+    }
+
+    /// Sends a request; the answer's status and body.
+    pub async fn send(
+        &self,
+        addr: &str,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        patience: Duration,
+    ) -> Result<(u16, Bytes), IoError> {
+        let Ok(Ok(_permit)) = tokio::time::timeout(patience, self.permits.acquire()).await else {
+            return Err(IoError::NotSent);
+        };
+        let mut sender = self.connection(addr).await?;
+        let request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", addr)
+            .header("content-type", "application/json")
+            .body(Full::new(body))
+            .map_err(|_| IoError::NotSent)?;
+        let exchange = async {
+            let answer = sender.send_request(request).await.map_err(|e| {
+                // Never written: the connection had been closed before.
+                if e.is_canceled() { IoError::NotSent } else { IoError::Unknown }
+            })?;
+            let status = answer.status().as_u16();
+            let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
+            Ok((status, body.map_err(|_| IoError::Unknown)?.to_bytes()))
+        };
+        let answer = tokio::time::timeout(patience, exchange).await.map_err(|_| IoError::Unknown)??;
+        if !sender.is_closed() {
+            let mut idle = self.idle.borrow_mut();
+            let list = idle.entry(addr.to_string()).or_default();
+            if list.len() < self.keep {
+                list.push(sender);
+            }
+        }
+        Ok(answer)
+    }
+
+    async fn connection(&self, addr: &str) -> Result<Sender, IoError> {
+        loop {
+            let kept = self.idle.borrow_mut().get_mut(addr).and_then(Vec::pop);
+            let Some(mut sender) = kept else { break };
+            // A connection that the other side has closed is found out here, before the request.
+            if !sender.is_closed() && sender.ready().await.is_ok() {
+                return Ok(sender);
+            }
+        }
+        self.idle.borrow_mut().retain(|_, list| !list.is_empty());
+        let stream = tokio::time::timeout(self.connect, TcpStream::connect(addr)).await;
+        let stream = stream.map_err(|_| IoError::NotSent)?.map_err(|_| IoError::NotSent)?;
+        let _ = stream.set_nodelay(true);
+        let shake =
+            hyper::client::conn::http1::Builder::new().max_buf_size(1024 * 1024).handshake(TokioIo::new(stream));
+        let (sender, connection) = shake.await.map_err(|_| IoError::NotSent)?;
+        tokio::task::spawn_local(async move {
+            let _ = connection.await;
+        });
+        Ok(sender)
+    }
+}
+
+/// A budget of requests per second, with bursts of one second's worth.
+pub struct Budget {
+    rate: f64,
+    left: f64,
+    at: tokio::time::Instant,
+}
+
+impl Budget {
+    /// A budget that is full at first.
+    pub fn new(rate: f64) -> Budget {
+        Budget { rate, left: rate, at: tokio::time::Instant::now() }
+    }
+    /// Takes one; false if there is none left.
+    pub fn take(&mut self) -> bool {
+        let now = tokio::time::Instant::now();
+        self.left = (self.left + now.duration_since(self.at).as_secs_f64() * self.rate).min(self.rate.max(1.0));
+        self.at = now;
+        let ok = self.left >= 1.0;
+        if ok {
+            self.left -= 1.0;
+        }
+        ok
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,285 @@
+//! Input and output of a node: HTTP servers and clients, links between controllers, and the loop
+//! that hands batches to the owner and carries out its effects.
+
+pub mod client;
+pub mod outside;
+pub mod peers;
+pub mod server;
+
+use bytes::Bytes;
+use client::{Budget, Client};
+use peers::{Heard, Link};
+use server::Ask;
+use shaleshunt_core::io::{Answer, Command, Effect, RequestId};
+use shaleshunt_core::{IoError, Node, Now, Settings, Severity, StateReply, StateRequest, Tuning};
+use shaleshunt_peer::Frame;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+/// Addresses and limits of a node.
+#[derive(Debug, Clone)]
+pub struct Wiring {
+    /// Where users, workers and health checks come in.
+    pub front: String,
+    /// Where the other controllers come in.
+    pub back: String,
+    /// The other controllers' addresses by name.
+    pub peers: Vec<(String, String)>,
+    /// The state service.
+    pub state: String,
+    /// The cloud.
+    pub cloud: String,
+    /// Most open sockets.
+    pub sockets: usize,
+}
+
+/// Most commands in one batch, so that health checks never wait for long.
+const BATCH: usize = 256;
+/// Most commands waiting.
+const QUEUE: usize = 4096;
+/// Memory that one connection may come to, in KiB.
+const CONNECTION_KIB: f64 = 48.0;
+/// Share of the state service's rate that one node's reads for users may take.
+const READ_SHARE: f64 = 0.6;
+
+type Relays = Rc<RefCell<HashMap<u64, oneshot::Sender<(u16, Bytes)>>>>;
+
+/// A node with its connections.
+struct Hands {
+    me: Rc<Settings>,
+    wiring: Wiring,
+    state: Client,
+    cloud: Client,
+    workers: Client,
+    links: HashMap<String, Link>,
+    relays: Relays,
+    relay_count: u64,
+    reads: Budget,
+    cloud_budget: Budget,
+    done: mpsc::Sender<Command>,
+    asked: HashMap<RequestId, oneshot::Sender<Answer>>,
+    patience: Duration,
+}
+
+/// Runs a node until the process ends. Fails only if it cannot listen.
+pub async fn run(settings: Settings, tuning: Tuning, wiring: Wiring) -> std::io::Result<()> {
+    let front = TcpListener::bind(&wiring.front).await?;
+    let back = TcpListener::bind(&wiring.back).await?;
+    let report = Duration::from_secs_f64(settings.report_s);
+    let patience = report.mul_f64(0.4);
+    let by_memory = (settings.mem_mb * 1024.0 / 3.0 / CONNECTION_KIB) as usize;
+    let limits = server::Limits {
+        connections: (wiring.sockets * 3 / 4).min(by_memory).max(16),
+        patience: Duration::from_secs_f64(shaleshunt_wire::SUBMIT_PATIENCE_S * 6.0),
+        answer: Duration::from_secs_f64(shaleshunt_wire::REPORT_PATIENCE_S),
+    };
+    let (asks, mut asked) = mpsc::channel(QUEUE);
+    let (done, mut results) = mpsc::channel(QUEUE);
+    let (hear, mut heard) = mpsc::channel(QUEUE);
+    tokio::task::spawn_local(server::serve(front, asks, limits));
+    tokio::task::spawn_local(peers::listen(back, hear));
+    let links = wiring
+        .peers
+        .iter()
+        .map(|(label, address)| (label.clone(), peers::dial(settings.label.clone(), address.clone(), patience)))
+        .collect();
+    let began = Instant::now();
+    let mut node = Node::new(settings.clone(), tuning, now(began));
+    let mut hands = Hands {
+        state: Client::new(16, 96, patience),
+        cloud: Client::new(4, 16, patience),
+        workers: Client::new(2, 512, patience / 2),
+        links,
+        relays: Relays::default(),
+        relay_count: 0,
+        reads: Budget::new(settings.state_rps * READ_SHARE),
+        cloud_budget: Budget::new(settings.cloud_rps * 0.9),
+        done,
+        asked: HashMap::new(),
+        patience,
+        me: Rc::new(settings),
+        wiring,
+    };
+    let mut asks_taken: RequestId = 1 << 63;
+    let mut tick = tokio::time::interval(report.div_f64(60.0));
+    tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        let mut batch = Vec::new();
+        let mut first_ask = None;
+        tokio::select! {
+            biased;
+            Some(command) = results.recv() => batch.push(command),
+            Some(h) = heard.recv() => batch.extend(hands.hear(h)),
+            Some(ask) = asked.recv() => first_ask = Some(ask),
+            _ = tick.tick() => batch.push(Command::Tick),
+        }
+        while batch.len() < BATCH
+            && let Ok(command) = results.try_recv()
+        {
+            batch.push(command);
+        }
+        while batch.len() < BATCH
+            && let Ok(h) = heard.try_recv()
+        {
+            batch.extend(hands.hear(h));
+        }
+        while batch.len() < BATCH
+            && let Some((ask, tell)) = first_ask.take().or_else(|| asked.try_recv().ok())
+        {
+            asks_taken += 1;
+            hands.asked.insert(asks_taken, tell);
+            batch.push(match ask {
+                Ask::Submit(s) => Command::Submit(asks_taken, s),
+                Ask::Status(job) => Command::Status(asks_taken, job),
+                Ask::Withdraw(job) => Command::Withdraw(asks_taken, job),
+                Ask::Up => Command::Up(asks_taken),
+                Ask::Checkin(r) => Command::Checkin(asks_taken, r),
+            });
+        }
+        for effect in node.step(now(began), batch) {
+            hands.carry_out(effect);
+        }
+    }
+}
+
+fn now(began: Instant) -> Now {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64);
+    // Never 0, so that 0 can stand for "never".
+    Now { mono: began.elapsed().as_millis() as u64 + 1, wall }
+}
+
+impl Hands {
+    /// What came from a peer: requests to pass on are the clients' business, not the owner's.
+    fn hear(&mut self, heard: Heard) -> Option<Command> {
+        match heard {
+            Heard::Lost(from) => Some(Command::PeerLost(from)),
+            Heard::Frame(from, Frame::Relay { id, body }) => {
+                let (state, link) = (self.state.clone(), self.links.get(&from).cloned());
+                let (address, patience) = (self.wiring.state.clone(), self.patience);
+                tokio::task::spawn_local(async move {
+                    let Ok(request) = serde_json::from_slice::<StateRequest>(&body) else { return };
+                    let (method, path, body) = outside::state_request(&request);
+                    let patience = patience + hold(&request);
+                    let (status, body) = match state.send(&address, method, &path, body, patience).await {
+                        Ok(answer) => answer,
+                        Err(IoError::NotSent) => (503, Bytes::new()),
+                        Err(_) => (0, Bytes::new()),
+                    };
+                    if let Some(link) = link {
+                        let _ = link.try_send(Frame::Relayed { id, status, body });
+                    }
+                });
+                None
+            }
+            Heard::Frame(_, Frame::Relayed { id, status, body }) => {
+                if let Some(tell) = self.relays.borrow_mut().remove(&id) {
+                    let _ = tell.send((status, body));
+                }
+                None
+            }
+            Heard::Frame(from, frame) => Some(Command::Peer(from, frame)),
+        }
+    }
+
+    fn carry_out(&mut self, effect: Effect) {
+        match effect {
+            Effect::Answer(id, answer) => {
+                if let Some(tell) = self.asked.remove(&id) {
+                    let _ = tell.send(answer);
+                }
+            }
+            Effect::Log(severity, text) => {
+                let node = self.me.label.as_str();
+                match severity {
+                    Severity::Error => tracing::error!("{node}: {text}"),
+                    Severity::Info => tracing::info!("{node}: {text}"),
+                    Severity::Debug => tracing::debug!("{node}: {text}"),
+                }
+            }
+            Effect::Peer(label, frame) => {
+                if let Some(link) = self.links.get(&label) {
+                    let _ = link.try_send(frame);
+                }
+            }
+            Effect::State(id, request, via) => self.ask_state(id, request, via),
+            Effect::Cloud(id, request) => {
+                let affordable = self.cloud_budget.take();
+                let (cloud, address, done) = (self.cloud.clone(), self.wiring.cloud.clone(), self.done.clone());
+                let patience = self.patience * 3;
+                tokio::task::spawn_local(async move {
+                    let result = if affordable {
+                        let (method, path, body) = outside::cloud_request(&request);
+                        let answer = cloud.send(&address, method, &path, body, patience).await;
+                        answer.and_then(|(status, body)| outside::cloud_reply(&request, status, &body))
+                    } else {
+                        Err(IoError::Throttled)
+                    };
+                    let _ = done.send(Command::Cloud(id, result)).await;
+                });
+            }
+            Effect::Orders(id, address, orders) => {
+                let (workers, done, patience) = (self.workers.clone(), self.done.clone(), self.patience);
+                tokio::task::spawn_local(async move {
+                    let body = serde_json::to_vec(&orders).map(Bytes::from).unwrap_or_default();
+                    let path = shaleshunt_wire::paths::ORDERS;
+                    let answer = workers.send(&address, hyper::Method::POST, path, body, patience).await;
+                    let result = answer.and_then(|(status, body)| outside::orders_reply(status, &body));
+                    let _ = done.send(Command::Orders(id, result)).await;
+                });
+            }
+        }
+    }
+
+    fn ask_state(&mut self, id: RequestId, request: StateRequest, via: Option<String>) {
+        let done = self.done.clone();
+        let patience = self.patience + hold(&request);
+        if matches!(request, StateRequest::Get { .. }) && !self.reads.take() {
+            tokio::task::spawn_local(async move {
+                let _ = done.send(Command::State(id, Err(IoError::Throttled))).await;
+            });
+            return;
+        }
+        let link = via.and_then(|peer| self.links.get(&peer).cloned());
+        if let Some(link) = link {
+            self.relay_count += 1;
+            let (number, relays) = (self.relay_count, self.relays.clone());
+            tokio::task::spawn_local(async move {
+                let (tell, told) = oneshot::channel();
+                relays.borrow_mut().insert(number, tell);
+                let body = serde_json::to_vec(&request).map(Bytes::from).unwrap_or_default();
+                let result = if link.try_send(Frame::Relay { id: number, body }).is_err() {
+                    Err(IoError::NotSent)
+                } else {
+                    match tokio::time::timeout(patience, told).await {
+                        Ok(Ok((status, body))) => outside::state_reply(&request, status, &body),
+                        _ => Err(IoError::Unknown),
+                    }
+                };
+                relays.borrow_mut().remove(&number);
+                let _ = done.send(Command::State(id, result)).await;
+            });
+            return;
+        }
+        let (state, address) = (self.state.clone(), self.wiring.state.clone());
+        tokio::task::spawn_local(async move {
+            let (method, path, body) = outside::state_request(&request);
+            let answer = state.send(&address, method, &path, body, patience).await;
+            let result: Result<StateReply, IoError> =
+                answer.and_then(|(status, body)| outside::state_reply(&request, status, &body));
+            let _ = done.send(Command::State(id, result)).await;
+        });
+    }
+}
+
+/// Time that a request waits at the state service by itself.
+fn hold(request: &StateRequest) -> Duration {
+    match request {
+        StateRequest::Watch { hold_ms, .. } => Duration::from_millis(*hold_ms),
+        _ => Duration::ZERO,
+    }
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,206 @@
+//! The HTTP server for users, workers and health checks.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper::{Method, Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use shaleshunt_core::io::Answer;
+use shaleshunt_wire::user::{Problem, Submission};
+use shaleshunt_wire::worker::{Elsewhere, Report};
+use shaleshunt_wire::{MAX_BODY, paths};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// A request for the owner.
+#[derive(Debug)]
+pub enum Ask {
+    /// A submission.
+    Submit(Box<Submission>),
+    /// A poll.
+    Status(String),
+    /// A withdrawal.
+    Withdraw(String),
+    /// A health check.
+    Up,
+    /// A worker's report.
+    Checkin(Box<Report>),
+}
+
+/// Where requests go.
+pub type Asks = mpsc::Sender<(Ask, oneshot::Sender<Answer>)>;
+
+/// Limits of the server.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Most open connections.
+    pub connections: usize,
+    /// Longest time for a request to arrive, and for a connection to stay unused.
+    pub patience: Duration,
+    /// Longest time for the owner to answer.
+    pub answer: Duration,
+}
+
+/// Serves until the process ends.
+pub async fn serve(listener: TcpListener, asks: Asks, limits: Limits) {
+    let open = Rc::new(Cell::new(0usize));
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                tracing::error!("accept: {e}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if open.get() >= limits.connections {
+            // At the limit a new connection is closed at once; nobody waits for nothing.
+            continue;
+        }
+        open.set(open.get() + 1);
+        let (asks, open) = (asks.clone(), open.clone());
+        tokio::task::spawn_local(async move {
+            connection(stream, asks, limits).await;
+            open.set(open.get() - 1);
+        });
+    }
+}
+
+async fn connection(stream: TcpStream, asks: Asks, limits: Limits) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let asks = asks.clone();
+        async move { Ok::<_, std::convert::Infallible>(handle(request, &asks, limits).await) }
+    });
+    let served = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.patience)
+        .max_buf_size(32 * 1024)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(e) = served {
+        tracing::debug!("connection: {e}");
+    }
+}
+
+fn plain(status: u16, body: Vec<u8>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = hyper::StatusCode::from_u16(status).unwrap_or(hyper::StatusCode::INTERNAL_SERVER_ERROR);
+    response.headers_mut().insert("content-type", hyper::header::HeaderValue::from_static("application/json"));
+    response
+}
+
+fn body<T: serde::Serialize>(status: u16, value: &T) -> Response<Full<Bytes>> {
+    plain(status, serde_json::to_vec(value).unwrap_or_default())
+}
+
+fn problem(status: u16, error: &str, retry_after: Option<u32>) -> Response<Full<Bytes>> {
+    let mut response = body(status, &Problem { error: error.to_string() });
+    if let Some(s) = retry_after {
+        response.headers_mut().insert("retry-after", s.into());
+    }
+    response
+}
+
+async fn read_body(request: Request<Incoming>, patience: Duration) -> Result<Bytes, Response<Full<Bytes>>> {
+    let collect = Limited::new(request.into_body(), MAX_BODY).collect();
+    match tokio::time::timeout(patience, collect).await {
+        Ok(Ok(all)) => Ok(all.to_bytes()),
+        Ok(Err(e)) if e.downcast_ref::<LengthLimitError>().is_some() => {
+            Err(close(problem(413, "body larger than 64 KiB", None)))
+        }
+        Ok(Err(_)) => Err(close(problem(400, "body broke off", None))),
+        Err(_) => Err(close(problem(408, "body took too long", None))),
+    }
+}
+
+fn close(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+    response.headers_mut().insert("connection", hyper::header::HeaderValue::from_static("close"));
+    response
+}
+
+async fn handle(request: Request<Incoming>, asks: &Asks, limits: Limits) -> Response<Full<Bytes>> {
+    let method = request.method().clone();
+    let path = request.uri().path().to_string();
+    let below = path.strip_prefix(paths::SUBMISSIONS).and_then(|p| p.strip_prefix('/'));
+    let ask = match (below, path.as_str()) {
+        (None, paths::SUBMISSIONS) => {
+            if method != Method::POST {
+                return problem(405, "POST only", None);
+            }
+            match read_body(request, limits.patience).await {
+                Err(response) => return response,
+                Ok(body) => match Submission::parse(&body) {
+                    Ok(s) => Ask::Submit(Box::new(s)),
+                    Err(e) => return problem(400, &e.to_string(), None),
+                },
+            }
+        }
+        (None, paths::UP) => {
+            if method != Method::GET {
+                return problem(405, "GET only", None);
+            }
+            Ask::Up
+        }
+        (None, paths::CHECKIN) => {
+            if method != Method::POST {
+                return problem(405, "POST only", None);
+            }
+            match read_body(request, limits.patience).await {
+                Err(response) => return response,
+                Ok(body) => match Report::parse(&body) {
+                    Some(r) => Ask::Checkin(Box::new(r)),
+                    None => return problem(400, "not a report", None),
+                },
+            }
+        }
+        (Some(rest), _) => {
+            let (id, last) = match rest.split_once('/') {
+                Some((id, last)) => (id, Some(last)),
+                None => (rest, None),
+            };
+            match last {
+                None if method != Method::GET => return problem(405, "GET only", None),
+                Some(paths::WITHDRAW) if method != Method::POST => return problem(405, "POST only", None),
+                None | Some(paths::WITHDRAW) => {}
+                Some(_) => return problem(404, "no such path", None),
+            }
+            if !shaleshunt_wire::user::valid_id(id) {
+                return problem(404, "no such job", None);
+            }
+            let id = id.to_string();
+            if last.is_none() {
+                Ask::Status(id)
+            } else {
+                // A body, if any, is read so that the connection can be used again.
+                if let Err(response) = read_body(request, limits.patience).await {
+                    return response;
+                }
+                Ask::Withdraw(id)
+            }
+        }
+        (None, _) => return problem(404, "no such path", None),
+    };
+    let (tell, told) = oneshot::channel();
+    if asks.try_send((ask, tell)).is_err() {
+        return problem(503, "too many requests at once", Some(1));
+    }
+    match tokio::time::timeout(limits.answer, told).await {
+        Ok(Ok(answer)) => write(answer),
+        _ => problem(503, "no answer in time", Some(1)),
+    }
+}
+
+fn write(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Job(status, view) => body(status, &view),
+        Answer::Problem { status, error, retry_after } => problem(status, error, retry_after),
+        Answer::Report(reply) => body(200, &reply),
+        Answer::Elsewhere(foreman) => body(421, &Elsewhere { foreman }),
+        Answer::Healthy => plain(200, b"{}".to_vec()),
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the outside world and the runner of scenarios.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,100 @@
+//! Wire formats of shaleshunt: the JSON bodies, paths and limits that its users, workers, the
+//! cloud and the state service see. This package is the only home of protocol names; clients may
+//! depend on it alone.
+
+pub mod cloud;
+pub mod state;
+pub mod user;
+pub mod worker;
+
+/// Largest request body, in bytes, and longest line of a response.
+pub const MAX_BODY: usize = 64 * 1024;
+/// Most tasks that one job may have.
+pub const MAX_PIECES: u32 = 100_000;
+/// Most machines that one hire may ask for.
+pub const MAX_HIRE: u32 = 50;
+/// Most machines that one return may name.
+pub const MAX_RETURN: usize = 100;
+/// Most machines on one page of the cloud's list.
+pub const MAX_LIST: u32 = 500;
+/// Conditions allowed in a transaction for each write allowed.
+pub const CONDITIONS_PER_WRITE: usize = 4;
+/// Longest time that a user waits for the answer to a submission, in seconds.
+pub const SUBMIT_PATIENCE_S: f64 = 5.0;
+/// Longest time that a user waits for the answer to a poll, in seconds.
+pub const POLL_PATIENCE_S: f64 = 2.0;
+/// Longest time that a worker waits for the answer to a report, in seconds.
+pub const REPORT_PATIENCE_S: f64 = 4.0;
+
+/// Paths of all interfaces.
+pub mod paths {
+    /// Submit; status and withdrawal are below it.
+    pub const SUBMISSIONS: &str = "/submissions";
+    /// Last part of a withdrawal's path.
+    pub const WITHDRAW: &str = "withdraw";
+    /// Health check.
+    pub const UP: &str = "/up";
+    /// Workers' reports.
+    pub const CHECKIN: &str = "/checkin";
+    /// Direct commands, on a worker.
+    pub const ORDERS: &str = "/orders";
+    /// A worker's report on request.
+    pub const STATUS: &str = "/status";
+    /// The cloud's machine types.
+    pub const CATALOG: &str = "/catalog";
+    /// The cloud's machines: hire and list.
+    pub const MACHINES: &str = "/machines";
+    /// Return machines to the cloud.
+    pub const RETURN: &str = "/machines/return";
+    /// Keys of the state service.
+    pub const KV: &str = "/kv";
+    /// Transactions of the state service.
+    pub const TXN: &str = "/txn";
+    /// Leases of the state service.
+    pub const HOLDS: &str = "/holds";
+    /// Last part of a renewal's path.
+    pub const RENEW: &str = "renew";
+    /// Changes of the state service.
+    pub const WATCH: &str = "/watch";
+}
+
+/// An amount (CPUs, cards, GB) in thousandths, so that sums never drift.
+pub type Milli = i64;
+
+/// Turns a decimal amount into thousandths, rounded up.
+pub fn to_milli(amount: f64) -> Milli {
+    (amount * 1000.0 - 1e-6).ceil().clamp(0.0, 9e15) as Milli
+}
+
+/// Resources that a task takes or a machine has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Hash)]
+pub struct Room {
+    /// CPUs, in thousandths.
+    pub cores: Milli,
+    /// Accelerator cards, in thousandths.
+    pub cards: Milli,
+    /// Memory in GB, in thousandths.
+    pub ram: Milli,
+}
+
+impl Room {
+    /// Room from decimal amounts; rounding is up, as for a task's need.
+    pub fn new(cores: f64, cards: f64, ram_gb: f64) -> Room {
+        Room { cores: to_milli(cores), cards: to_milli(cards), ram: to_milli(ram_gb) }
+    }
+    /// Whether `need` fits in this room.
+    pub fn fits(&self, need: &Room) -> bool {
+        need.cores <= self.cores && need.cards <= self.cards && need.ram <= self.ram
+    }
+    /// How many times `need` fits in this room, at most `cap`.
+    pub fn times(&self, need: &Room, cap: i64) -> i64 {
+        let part = |have: Milli, want: Milli| if want > 0 { (have / want).max(0) } else { cap };
+        part(self.cores, need.cores).min(part(self.cards, need.cards)).min(part(self.ram, need.ram)).min(cap)
+    }
+    /// Adds `n` times `other`.
+    pub fn add(&mut self, other: &Room, n: i64) {
+        self.cores += other.cores * n;
+        self.cards += other.cards * n;
+        self.ram += other.ram * n;
+    }
+}
--- /dev/null
+++ b/crates/wire/src/state.rs
@@ -0,0 +1,132 @@
+//! The state service's interface.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+/// A key with its value.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Pair {
+    /// Key.
+    pub path: String,
+    /// Value.
+    pub v: Value,
+    /// Revision of its last change.
+    pub stamp: u64,
+    /// Lease that it is attached to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pass: Option<u64>,
+}
+
+/// A page of keys.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Page {
+    /// Keys in order.
+    pub pairs: Vec<Pair>,
+    /// Whether there is more.
+    #[serde(default)]
+    pub truncated: bool,
+    /// Revision that the page shows.
+    pub ledger: u64,
+}
+
+/// A condition on a key's version; 0 means that it does not exist.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Condition {
+    /// Key.
+    pub path: String,
+    /// Version.
+    pub stamp: u64,
+}
+
+/// A change in a transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum Write {
+    /// Sets a key.
+    Set {
+        /// Key.
+        set: String,
+        /// Value.
+        v: Value,
+        /// Lease to attach it to.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        pass: Option<u64>,
+    },
+    /// Removes a key.
+    Drop {
+        /// Key.
+        drop: String,
+    },
+}
+
+impl Write {
+    /// A `set` without a lease.
+    pub fn set(key: impl Into<String>, v: Value) -> Write {
+        Write::Set { set: key.into(), v, pass: None }
+    }
+    /// A `drop`.
+    pub fn drop_key(key: impl Into<String>) -> Write {
+        Write::Drop { drop: key.into() }
+    }
+}
+
+/// A transaction.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Txn {
+    /// What must hold.
+    #[serde(rename = "if")]
+    pub conditions: Vec<Condition>,
+    /// What changes.
+    pub writes: Vec<Write>,
+}
+
+/// Answer to a transaction.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TxnReply {
+    /// Keys whose conditions failed; empty on success.
+    #[serde(default)]
+    pub failed: Vec<String>,
+    /// Revision.
+    pub ledger: u64,
+}
+
+/// Asks for a lease.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct NewHold {
+    /// Life without renewal.
+    pub life_ms: u64,
+}
+
+/// A new lease.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Hold {
+    /// Its number.
+    pub pass: u64,
+}
+
+/// A change seen by a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Key that was set.
+    #[serde(default)]
+    pub set: Option<String>,
+    /// Key that was removed.
+    #[serde(default)]
+    pub drop: Option<String>,
+    /// Its value.
+    #[serde(default)]
+    pub v: Option<Value>,
+    /// Revision of the change.
+    pub stamp: u64,
+}
+
+/// Answer to a watch.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct News {
+    /// Revision up to which the changes go.
+    pub ledger: u64,
+    /// Changes.
+    #[serde(default)]
+    pub news: Vec<Change>,
+}
--- /dev/null
+++ b/crates/wire/src/user.rs
@@ -0,0 +1,170 @@
+//! Users' interface: submissions and their states.
+
+use crate::{MAX_PIECES, Room};
+use serde::{Deserialize, Serialize};
+
+/// What kind of job it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Shape {
+    /// Independent tasks, each runs to completion.
+    Array,
+    /// Replicas that run until the job is cancelled.
+    Daemon,
+}
+
+/// Priority, lowest first so that the order of the variants is the order of priority.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Urgency {
+    /// Runs in what nobody else wants.
+    BestEffort,
+    /// Ordinary work.
+    Normal,
+    /// Urgent work.
+    High,
+    /// Services that people wait for.
+    Prod,
+}
+
+/// A submission as its user sends it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Submission {
+    /// Unique job id.
+    #[serde(rename = "ref")]
+    pub id: String,
+    /// Class of jobs that it belongs to.
+    pub jobline: String,
+    /// Team.
+    pub crew: String,
+    /// Kind of job.
+    pub shape: Shape,
+    /// Priority.
+    pub urgency: Urgency,
+    /// Number of tasks.
+    pub pieces: u32,
+    /// CPUs of a task.
+    pub cores: f64,
+    /// Cards of a task.
+    pub cards: f64,
+    /// Memory of a task in GB.
+    pub ram_gb: f64,
+    /// Image that a machine must have.
+    pub bundle: String,
+    /// Its size in GB.
+    pub image_gb: f64,
+    /// Allowed machine types; none means any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub frames: Option<Vec<String>>,
+    /// The only allowed zone.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hall: Option<String>,
+    /// All tasks in one zone.
+    pub one_zone: bool,
+    /// At most half of the tasks, rounded up, in one zone.
+    pub scatter: bool,
+    /// May use spot machines.
+    pub borrowed: bool,
+    /// The owner's estimate of a task's run time.
+    pub expect_s: f64,
+    /// Interval between checkpoints, 0 for none.
+    pub mark_every_s: f64,
+    /// Time that saving takes when stopped.
+    pub mark_takes_s: f64,
+    /// Deadline, from the submission.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub due_s: Option<f64>,
+}
+
+/// Why a submission is malformed.
+#[derive(Debug, thiserror::Error)]
+pub enum Malformed {
+    /// Not JSON, or a field is missing or mistyped.
+    #[error("not a submission: {0}")]
+    Json(#[from] serde_json::Error),
+    /// A field's value is out of its range.
+    #[error("field {0} is out of its range")]
+    Field(&'static str),
+}
+
+/// Largest amount taken for a decimal field.
+const HUGE: f64 = 1e9;
+/// Longest name taken for a team, class, image or type.
+const LONG_NAME: usize = 200;
+
+impl Submission {
+    /// Reads a submission from a request's body and checks every field.
+    pub fn parse(body: &[u8]) -> Result<Submission, Malformed> {
+        let s: Submission = serde_json::from_slice(body)?;
+        let name = |n: &str| !n.is_empty() && n.len() <= LONG_NAME;
+        let amount = |x: f64| x.is_finite() && (0.0..=HUGE).contains(&x);
+        let check = |ok: bool, field: &'static str| if ok { Ok(()) } else { Err(Malformed::Field(field)) };
+        check(valid_id(&s.id), "ref")?;
+        check(name(&s.jobline), "jobline")?;
+        check(name(&s.crew), "crew")?;
+        check((1..=MAX_PIECES).contains(&s.pieces), "pieces")?;
+        check(amount(s.cores), "cores")?;
+        check(amount(s.cards), "cards")?;
+        check(amount(s.ram_gb), "ramGb")?;
+        check(s.bundle.len() <= LONG_NAME, "bundle")?;
+        check(amount(s.image_gb), "imageGb")?;
+        let frames_fine = s.frames.as_ref().is_none_or(|f| f.len() <= LONG_NAME / 4 && f.iter().all(|n| name(n)));
+        check(frames_fine, "frames")?;
+        check(s.hall.as_ref().is_none_or(|h| name(h)), "hall")?;
+        check(amount(s.expect_s), "expectS")?;
+        check(amount(s.mark_every_s), "markEveryS")?;
+        check(amount(s.mark_takes_s), "markTakesS")?;
+        check(s.due_s.is_none_or(amount), "dueS")?;
+        Ok(s)
+    }
+
+    /// What one task takes.
+    pub fn need(&self) -> Room {
+        Room::new(self.cores, self.cards, self.ram_gb)
+    }
+}
+
+/// Whether a text has the form of a job id (and is safe inside a key of the state service).
+pub fn valid_id(id: &str) -> bool {
+    id.strip_prefix("wk-").is_some_and(|rest| {
+        !rest.is_empty() && rest.len() <= 60 && rest.bytes().all(|b| b.is_ascii_alphanumeric() || b == b'-')
+    })
+}
+
+/// A job's state as users see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum JobStatus {
+    /// No task runs.
+    Queued,
+    /// Some task runs.
+    Running,
+    /// All tasks are done.
+    Done,
+    /// Cancelled.
+    Aborted,
+}
+
+/// Answer to a submission, poll or withdrawal.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// The job.
+    #[serde(rename = "ref")]
+    pub id: String,
+    /// Its state.
+    pub status: JobStatus,
+    /// Tasks done, for display.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<u32>,
+    /// Tasks running, for display.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub running: Option<u32>,
+}
+
+/// Body of an answer that is no success.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Problem {
+    /// What is wrong.
+    pub error: String,
+}
--- /dev/null
+++ b/crates/wire/src/worker.rs
@@ -0,0 +1,163 @@
+//! Workers' interface: reports and commands.
+
+use serde::{Deserialize, Serialize};
+
+/// State of a task on a machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PieceStatus {
+    /// Waiting for its image.
+    Fetching,
+    /// Running.
+    Running,
+    /// Told to stop, saving.
+    Flushing,
+    /// Ended.
+    Exited,
+    /// A state that this version does not know: on the machine, not ended.
+    #[serde(other)]
+    Unknown,
+}
+
+/// Why a task ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Cause {
+    /// Completed.
+    Done,
+    /// Stopped by command.
+    Stopped,
+    /// Failed.
+    Error,
+    /// Refused: not enough room.
+    NoRoom,
+    /// Refused: another attempt is here.
+    InUse,
+    /// Refused: no such job or task.
+    NoSuch,
+    /// A cause that this version does not know.
+    #[serde(other)]
+    Unknown,
+}
+
+/// One task in a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PieceReport {
+    /// Task name, `wk-000412/3`.
+    pub piece: String,
+    /// Attempt.
+    #[serde(rename = "try")]
+    pub attempt: u64,
+    /// State.
+    pub status: PieceStatus,
+    /// Why it ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cause: Option<Cause>,
+    /// Whether its progress was saved.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stored: Option<bool>,
+}
+
+/// A worker's report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Machine.
+    pub loom: String,
+    /// Address for direct commands.
+    pub endpoint: String,
+    /// Machine type.
+    pub frame: String,
+    /// Zone.
+    pub hall: String,
+    /// Spot machine.
+    pub borrowed: bool,
+    /// Session.
+    pub shift: u64,
+    /// Order among the reports of a session.
+    pub tick: u64,
+    /// Highest token seen.
+    pub baton: u64,
+    /// Seconds until the cloud takes the machine.
+    #[serde(default, rename = "warnS")]
+    pub warn_s: Option<f64>,
+    /// All tasks on the machine.
+    #[serde(default)]
+    pub pieces: Vec<PieceReport>,
+}
+
+impl Report {
+    /// Reads a report and checks what the scheduler relies on.
+    pub fn parse(body: &[u8]) -> Option<Report> {
+        let r: Report = serde_json::from_slice(body).ok()?;
+        let key_safe =
+            |n: &str| !n.is_empty() && n.len() <= 100 && n.bytes().all(|b| b.is_ascii_graphic() && b != b'/');
+        (key_safe(&r.loom) && r.endpoint.len() <= 100).then_some(r)
+    }
+}
+
+/// A command to a worker.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "verb", rename_all = "snake_case")]
+pub enum Order {
+    /// Start a task.
+    Run {
+        /// Task.
+        piece: String,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+    /// Stop a task.
+    Halt {
+        /// Task.
+        piece: String,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+        /// Time to save.
+        #[serde(rename = "windDownS")]
+        wind_down_s: f64,
+    },
+    /// Remove an exited task from the reports.
+    Forget {
+        /// Task.
+        piece: String,
+        /// Attempt.
+        #[serde(rename = "try")]
+        attempt: u64,
+    },
+}
+
+/// Answer to a report.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ReportReply {
+    /// Token.
+    pub baton: u64,
+    /// Commands, executed in order.
+    pub orders: Vec<Order>,
+}
+
+/// Direct commands.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Orders {
+    /// Token.
+    pub baton: u64,
+    /// Session that they are meant for.
+    pub shift: u64,
+    /// Commands, executed in order.
+    pub orders: Vec<Order>,
+}
+
+/// Answer that sends a worker to another node.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Elsewhere {
+    /// The node to report to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub foreman: Option<String>,
+}
+
+/// Splits a task name into job and number.
+pub fn split_piece(piece: &str) -> Option<(&str, u32)> {
+    let (job, number) = piece.rsplit_once('/')?;
+    Some((job, number.parse().ok()?))
+}
