--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -100,15 +100,14 @@
         let mut images: Vec<(String, f64)> = Vec::new();
         for p in m.places.iter_mut().filter(|p| !lost.contains(&p.attempt)) {
             match seen.remove(&(format!("{}/{}", p.job, p.piece), p.attempt)) {
-                Some((PieceStatus::Exited, cause)) => {
-                    if current {
-                        ended.push((p.attempt, cause.unwrap_or(Cause::Unknown)));
-                    }
+                Some((PieceStatus::Exited, cause)) if current => {
+                    ended.push((p.attempt, cause.unwrap_or(Cause::Unknown)));
                 }
+                Some((PieceStatus::Exited, _)) => {}
                 Some((status, _)) => {
                     p.sent = true;
                     p.stage = match status {
-                        PieceStatus::Fetching => Stage::Fetching,
+                        PieceStatus::Fetching | PieceStatus::Gathering => Stage::Fetching,
                         PieceStatus::Flushing => Stage::Flushing,
                         _ => Stage::Running,
                     };
@@ -197,7 +196,7 @@
                     m.sick_until = m.sick_until.max(now + ctx.set.report_ms() / 3);
                 }
             }
-            Cause::Stopped => {}
+            Cause::Stopped | Cause::Alone | Cause::MatesGone => {}
         }
     }
 
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -82,7 +82,7 @@
             return Some("a task fits no allowed machine type");
         }
         let mut all = Room::default();
-        all.add(&need, if s.shape == Shape::Daemon { i64::from(s.pieces) } else { 1 });
+        all.add(&need, if s.shape == Shape::Array { 1 } else { i64::from(s.pieces) });
         if !team.allows(&all) {
             return Some("more than the team's limit");
         }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -5,8 +5,6 @@
 use crate::io::*;
 use crate::model::*;
 use crate::node::{Ctx, Wait};
-use rand::SeedableRng;
-use rand::rngs::SmallRng;
 use serde_json::Value;
 use shaleshunt_wire::Room;
 use shaleshunt_wire::state::{Change, Page, Pair};
@@ -43,7 +41,6 @@
     pub retry_at: u64,
     /// Answered, with these machines.
     pub answer: Option<Vec<Id>>,
-    pub since: u64,
 }
 
 /// Actual and estimated run time of a class's tasks.
@@ -94,13 +91,11 @@
     pub(crate) round_at: u64,
     pub(crate) list_at: u64,
     pub(crate) listing: bool,
-    pub(crate) list_after: String,
     pub(crate) list_seen: Vec<shaleshunt_wire::cloud::Listed>,
     pub(crate) prices_at: u64,
-    pub(crate) refused: BTreeMap<(String, String, bool), (u64, u32)>,
+    pub(crate) refused: BTreeMap<crate::rent::Place, (u64, u32)>,
     pub(crate) learned: BTreeMap<String, Learned>,
     pub(crate) retry_commit_at: u64,
-    pub(crate) rng: SmallRng,
 }
 
 impl Leader {
@@ -142,13 +137,11 @@
             round_at: now,
             list_at: now,
             listing: false,
-            list_after: String::new(),
             list_seen: Vec::new(),
             prices_at: now,
             refused: BTreeMap::new(),
             learned: BTreeMap::new(),
             retry_commit_at: now,
-            rng: SmallRng::seed_from_u64(epoch),
         };
         l.writes = ctx.set.state_write_rps * ctx.tune.write_share;
         for prefix in [keys::JOBS, keys::DONE, keys::LOOMS, keys::HIRES, "c/"] {
@@ -187,7 +180,6 @@
                             asking: false,
                             retry_at: 0,
                             answer: None,
-                            since: ctx.now.mono,
                         };
                         self.hires.insert(state.hire.hire.clone(), state);
                     }
@@ -372,7 +364,7 @@
             }
             (LeadWait::Watch, Ok(StateReply::TooOld)) => self.down = Some("changes were missed"),
             (LeadWait::Watch, _) => self.watch_at = Some(ctx.now.mono + ctx.set.report_ms() / 20),
-            (LeadWait::Refresh(id), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
+            (LeadWait::Refresh(_), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
             (LeadWait::Refresh(id), Ok(StateReply::Missing)) => self.job_gone(ctx, &id),
             (LeadWait::Refresh(id), _) => self.refresh(ctx, id),
             (LeadWait::Commit, result) => self.committed(ctx, result),
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -245,6 +245,10 @@
     pub fn is_service(&self) -> bool {
         self.spec.shape == Shape::Daemon
     }
+    /// Whether its tasks run together or not at all.
+    pub fn is_gang(&self) -> bool {
+        self.spec.shape == Shape::Ensemble
+    }
     /// The first task that is neither done nor placed, from `from` on.
     pub fn next_free(&self, from: u32) -> Option<u32> {
         (from.max(self.cursor)..self.spec.pieces).find(|&i| !self.done.get(i) && !self.live.contains_key(&i))
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -22,8 +22,8 @@
     Vote(VoteWait),
     /// The leader's work; void in another epoch.
     Lead(u64, LeadWait),
-    /// The catalogue, from the state service (`true`) or the cloud.
-    Catalog(bool),
+    /// The catalogue.
+    Catalog,
     /// Nothing.
     Ignore,
 }
@@ -90,8 +90,6 @@
 #[derive(Debug, Clone, Default)]
 struct PeerView {
     heard: u64,
-    epoch: u64,
-    leads: bool,
     state_age_ms: u32,
 }
 
@@ -168,7 +166,7 @@
             Command::Checkin(id, report) => self.checkin(id, *report),
             Command::State(id, result) => self.state_answer(id, result),
             Command::Cloud(id, result) => match self.ctx.waits.remove(&id) {
-                Some((Wait::Catalog(_), _)) => {
+                Some((Wait::Catalog, _)) => {
                     if let Ok(CloudReply::Catalog(c)) = result {
                         self.got_catalog(c);
                     }
@@ -223,10 +221,8 @@
         // A token above our epoch's shows that there is a newer leader. Any 200 of ours would be
         // dropped and would hold the worker here while its lease runs out.
         let theirs = report.baton >> crate::leader::TOKEN_BITS;
-        if let Some(l) = &self.leader {
-            if theirs > l.epoch {
-                self.deposed("a worker has seen a newer token");
-            }
+        if self.leader.as_ref().is_some_and(|l| theirs > l.epoch) {
+            self.deposed("a worker has seen a newer token");
         }
         let me = self.ctx.set.label.clone();
         match &mut self.leader {
@@ -255,7 +251,7 @@
         match wait {
             Wait::Front(w) => self.front.state_answer(&mut self.ctx, w, result, &self.counts, self.leader.as_deref()),
             Wait::Vote(w) => self.vote_answer(w, result),
-            Wait::Catalog(_) => {
+            Wait::Catalog => {
                 let found = match result {
                     Ok(StateReply::Found(pair)) => serde_json::from_value::<Catalog>(pair.v).ok(),
                     _ => None,
@@ -263,7 +259,7 @@
                 match found {
                     Some(c) => self.got_catalog(c),
                     None if self.ctx.catalog.is_none() => {
-                        self.ctx.cloud(CloudRequest::Catalog, Wait::Catalog(false));
+                        self.ctx.cloud(CloudRequest::Catalog, Wait::Catalog);
                     }
                     None => {}
                 }
@@ -400,7 +396,7 @@
         match frame {
             Frame::Pulse { epoch, leader, leads, state_age_ms } => {
                 let Some(p) = self.peers.get_mut(&from) else { return };
-                *p = PeerView { heard: now, epoch, leads, state_age_ms };
+                *p = PeerView { heard: now, state_age_ms };
                 if leads && epoch > self.epoch {
                     // A newer leader than the one we know, ourselves perhaps.
                     self.epoch = epoch;
@@ -429,7 +425,7 @@
         if self.catalog_at <= now {
             let known = self.ctx.catalog.is_some();
             self.catalog_at = now + self.ctx.set.report_ms() * if known { 20 } else { 1 } / 3;
-            self.ctx.state(StateRequest::Get { key: keys::CATALOG.into() }, Wait::Catalog(true));
+            self.ctx.state(StateRequest::Get { key: keys::CATALOG.into() }, Wait::Catalog);
         }
         self.front.turn(&mut self.ctx);
         let mut down = None;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -11,11 +11,14 @@
 use shaleshunt_wire::Room;
 use shaleshunt_wire::user::Urgency;
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most tasks stopped for others in one pass.
 const PREEMPTIONS: u32 = 8;
 
+/// What decides, zone rules aside, which machines a task may use.
+type Kind = (Room, bool, Option<String>, Option<Vec<String>>);
+
 impl Leader {
     /// Estimated run time of a job's task: the owner's, corrected by what its class did.
     pub(crate) fn estimate(&self, job: &Job) -> f64 {
@@ -85,12 +88,15 @@
         let now = ctx.now.mono;
         let queue = self.queue(now);
         // What found no room once finds none again in this pass.
-        let mut full: Vec<(Room, bool, Option<String>, Option<Vec<String>>)> = Vec::new();
+        let mut full: Vec<Kind> = Vec::new();
         let mut stops = PREEMPTIONS;
         for id in queue {
+            if self.jobs.get(&id).is_some_and(|j| j.is_gang()) {
+                self.place_gang(ctx, &id);
+                continue;
+            }
             let mut from = 0;
-            loop {
-                let Some(job) = self.jobs.get(&id) else { break };
+            while let Some(job) = self.jobs.get(&id) {
                 let Some(piece) = job.next_free(from) else { break };
                 if !self.team_allows(ctx, job) {
                     break;
@@ -100,7 +106,7 @@
                 let free_choice = !s.one_zone && !s.scatter;
                 let mut loom = None;
                 if !full.contains(&kind) {
-                    loom = self.choose(ctx, job);
+                    loom = self.choose(ctx, job, None);
                     if loom.is_none() && free_choice {
                         full.push(kind);
                     }
@@ -111,28 +117,69 @@
                 }
                 let Some(loom) = loom else { break };
                 from = piece + 1;
-                let attempt = self.next_attempt();
-                let Some(job) = self.jobs.get_mut(&id) else { break };
-                job.cursor = job.cursor.max(piece);
-                let p = Placement {
-                    job: id.clone(),
-                    piece,
-                    attempt,
-                    need: job.need,
-                    stage: Stage::Planned,
-                    sent: false,
-                    since: now,
-                    running: None,
-                    halt: None,
-                };
-                self.put(&loom, p);
+                self.plan(now, &id, piece, &loom);
+            }
+        }
+    }
+
+    /// Puts a plan for a task on a machine; nothing leaves before it is committed.
+    fn plan(&mut self, now: u64, id: &Id, piece: u32, loom: &Id) -> u64 {
+        let attempt = self.next_attempt();
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.cursor = job.cursor.max(piece);
+            let p = Placement {
+                job: id.clone(),
+                piece,
+                attempt,
+                need: job.need,
+                stage: Stage::Planned,
+                sent: false,
+                since: now,
+                running: None,
+                halt: None,
+            };
+            self.put(loom, p);
+        }
+        attempt
+    }
+
+    /// A gang moves as one entry: all its waiting tasks find room, or none is placed. With
+    /// `oneZone` each zone is tried.
+    fn place_gang(&mut self, ctx: &mut Ctx, id: &Id) {
+        let now = ctx.now.mono;
+        let zones: Vec<Option<String>> = match self.jobs.get(id) {
+            Some(j) if j.spec.one_zone && j.spec.hall.is_none() => {
+                let zones: BTreeSet<String> = self.looms.values().map(|m| m.hall.clone()).collect();
+                zones.into_iter().map(Some).collect()
+            }
+            _ => vec![None],
+        };
+        for zone in zones {
+            let mut planned: Vec<(Id, u64)> = Vec::new();
+            let mut from = 0;
+            let whole = loop {
+                let Some(job) = self.jobs.get(id) else { break false };
+                let Some(piece) = job.next_free(from) else { break true };
+                let fits = self.team_allows(ctx, job);
+                let Some(loom) = self.choose(ctx, job, zone.as_deref()).filter(|_| fits) else { break false };
+                from = piece + 1;
+                let attempt = self.plan(now, id, piece, &loom);
+                planned.push((loom, attempt));
+            };
+            if whole {
+                return;
+            }
+            let replan = self.replan;
+            for (loom, attempt) in planned {
+                self.release(now, &loom, attempt, false);
             }
+            self.replan = replan;
         }
     }
 
     /// The machine for a job's next task: one that holds the image, then one that does not have to
     /// be rented, then the fullest that still has room. Replicas keep apart.
-    fn choose(&self, ctx: &Ctx, job: &Job) -> Option<Id> {
+    fn choose(&self, ctx: &Ctx, job: &Job, zone: Option<&str>) -> Option<Id> {
         let now = ctx.now.mono;
         let cap = ctx.set.value_bytes() / 64;
         let service = job.is_service();
@@ -140,7 +187,7 @@
             .values()
             .filter(|m| m.free().fits(&job.need) && m.usable(now, &ctx.set) && m.places.len() < cap)
             .filter(|m| Self::allows(job, &m.frame, &m.hall, m.borrowed) && Self::zone_fits(job, &m.hall))
-            .filter(|m| m.sick_times == 0 || m.places.is_empty())
+            .filter(|m| (m.sick_times == 0 || m.places.is_empty()) && zone.is_none_or(|z| z == m.hall))
             .min_by_key(|m| {
                 let mates = if service { m.places.iter().filter(|p| p.job == job.id).count() } else { 0 };
                 let zone = if service { job.zones.get(&m.hall).copied().unwrap_or(0) } else { 0 };
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -5,12 +5,16 @@
 use crate::model::*;
 use crate::node::Ctx;
 use shaleshunt_wire::cloud::{Hire, Listed, ListedStatus};
+use shaleshunt_wire::user::Shape;
 use shaleshunt_wire::{MAX_HIRE, MAX_RETURN, Room};
 use std::collections::BTreeSet;
 
 /// A machine that has not come up after so many times its type's usual boot time is returned.
 const NEVER_BOOTS: f64 = 4.0;
 
+/// Type, zone and whether it may be taken back.
+pub(crate) type Place = (String, String, bool);
+
 impl Leader {
     /// What is due in rounds.
     pub(crate) fn rounds(&mut self, ctx: &mut Ctx) {
@@ -111,8 +115,10 @@
 
     /// Takes in the cloud's list. It proves nothing about what is gone.
     fn listed(&mut self, ctx: &mut Ctx, list: Vec<Listed>) {
-        if self.owned.is_none() && !list.is_empty() {
-            // The service begins: what is up now is owned.
+        // The service begins: what is up now is owned. Lists lag: an empty one counts only after
+        // twice the lag.
+        let settled = ctx.now.mono.saturating_sub(self.took_at) as f64 > ctx.set.list_lag_s * 2000.0;
+        if self.owned.is_none() && (!list.is_empty() || settled) {
             let owned: BTreeSet<String> = list
                 .iter()
                 .filter(|m| !m.borrowed && m.status == ListedStatus::Running)
@@ -209,8 +215,23 @@
     /// rents when its slack says so. Others wait, but no longer than their class's aim leaves once
     /// a machine's boot is counted.
     fn rents(&self, ctx: &Ctx, job: &Job, boot_s: f64) -> bool {
+        if job.due().is_some() && job.sent_out {
+            return true;
+        }
+        // Room that is not there at all, or too little for tasks that run together, is not worth
+        // waiting for.
+        let together = if job.spec.shape == Shape::Array { 1 } else { i64::from(job.spec.pieces) };
+        let all: i64 = self
+            .looms
+            .values()
+            .filter(|m| !m.leaving && Self::allows(job, &m.frame, &m.hall, m.borrowed))
+            .map(|m| m.room.times(&job.need, together))
+            .sum();
+        if all < together {
+            return true;
+        }
         if job.due().is_some() {
-            return job.sent_out;
+            return false;
         }
         let aim = ctx.set.aims.get(&job.spec.jobline).copied().unwrap_or_default();
         let mut wait = ctx.tune.plain_wait_s;
@@ -296,8 +317,7 @@
         for (mut hire, _) in wanted {
             self.hire_count += 1;
             hire.hire = format!("{}-{}-{}", ctx.set.label, self.epoch, self.hire_count);
-            let state =
-                HireState { hire, stamp: 0, writing: false, asking: false, retry_at: 0, answer: None, since: now };
+            let state = HireState { hire, stamp: 0, writing: false, asking: false, retry_at: 0, answer: None };
             self.hires.insert(state.hire.hire.clone(), state);
         }
     }
@@ -310,8 +330,8 @@
         job: &Job,
         catalog: &shaleshunt_wire::cloud::Catalog,
         wanted: &[(Hire, Room)],
-    ) -> Option<(String, String, bool)> {
-        let mut best: Option<((i64, u32), (String, String, bool))> = None;
+    ) -> Option<Place> {
+        let mut best: Option<((i64, u32), Place)> = None;
         for f in catalog.frames.iter().filter(|f| f.room().fits(&job.need)) {
             for hall in &f.halls {
                 for borrowed in [true, false] {
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -11,6 +11,8 @@
     Array,
     /// Replicas that run until the job is cancelled.
     Daemon,
+    /// A gang: tasks that run together or not at all.
+    Ensemble,
 }
 
 /// Priority, lowest first so that the order of the variants is the order of priority.
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -8,6 +8,8 @@
 pub enum PieceStatus {
     /// Waiting for its image.
     Fetching,
+    /// A gang's task that waits for its mates.
+    Gathering,
     /// Running.
     Running,
     /// Told to stop, saving.
@@ -33,6 +35,10 @@
     NoRoom,
     /// Refused: another attempt is here.
     InUse,
+    /// A gang's task whose mates did not come.
+    Alone,
+    /// A gang's task whose mates are gone.
+    MatesGone,
     /// Refused: no such job or task.
     NoSuch,
     /// A cause that this version does not know.
