--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -173,7 +173,7 @@
                 f.txn.jobs.insert(job);
             }
             f.txn.set(format!("{}{id}", keys::LOOMS), m.stamp, v);
-            f.looms.push((id.clone(), plans.iter().map(|p| p.attempt).collect()));
+            f.looms.push((id.clone(), plans.iter().map(|p| p.slot).collect()));
             m.dirty = false;
             m.writing = true;
         }
@@ -273,14 +273,14 @@
     }
 
     fn succeeded(&mut self, ctx: &mut Ctx, f: Flight, ledger: u64) {
-        for (id, attempts) in f.looms {
+        for (id, slots) in f.looms {
             if let Some(stamp) = self.gone.get_mut(&id) {
                 *stamp = ledger;
             }
             let Some(m) = self.looms.get_mut(&id) else { continue };
             m.stamp = ledger;
             m.writing = false;
-            for p in m.places.iter_mut().filter(|p| p.stage == Stage::Planned && attempts.contains(&p.attempt)) {
+            for p in m.places.iter_mut().filter(|p| p.stage == Stage::Planned && slots.contains(&p.slot)) {
                 p.stage = Stage::Committed;
                 m.push = true;
             }
@@ -328,18 +328,18 @@
                 self.refresh(ctx, id.clone());
             }
         }
-        for (id, attempts) in f.looms {
+        for (id, slots) in f.looms {
             let Some(m) = self.looms.get_mut(&id) else { continue };
             m.writing = false;
             m.dirty = true;
             let void: Vec<u64> = m
                 .places
                 .iter()
-                .filter(|p| p.stage == Stage::Planned && attempts.contains(&p.attempt) && stale.contains(&p.job))
-                .map(|p| p.attempt)
+                .filter(|p| p.stage == Stage::Planned && slots.contains(&p.slot) && stale.contains(&p.job))
+                .map(|p| p.slot)
                 .collect();
-            for attempt in void {
-                self.release(ctx.now.mono, &id, attempt, false);
+            for slot in void {
+                self.release(ctx.now.mono, &id, slot, false);
             }
         }
         for (id, _, _) in f.chunks {
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -76,7 +76,7 @@
         if r.shift > m.shift {
             // Its lease ran out: whatever was placed in an earlier session is gone, and commands
             // for that session no longer count.
-            lost = m.places.iter().map(|p| p.attempt).collect();
+            lost = m.places.iter().map(|p| p.slot).collect();
             m.shift = r.shift;
         }
         let current = r.baton >= token;
@@ -98,10 +98,10 @@
         let mut ended: Vec<(u64, Cause)> = Vec::new();
         let mut absent: Vec<u64> = Vec::new();
         let mut images: Vec<(String, f64)> = Vec::new();
-        for p in m.places.iter_mut().filter(|p| !lost.contains(&p.attempt)) {
+        for p in m.places.iter_mut().filter(|p| !lost.contains(&p.slot)) {
             match seen.remove(&(format!("{}/{}", p.job, p.piece), p.attempt)) {
                 Some((PieceStatus::Exited, cause)) if current => {
-                    ended.push((p.attempt, cause.unwrap_or(Cause::Unknown)));
+                    ended.push((p.slot, cause.unwrap_or(Cause::Unknown)));
                 }
                 Some((PieceStatus::Exited, _)) => {}
                 Some((status, _)) => {
@@ -122,7 +122,7 @@
                     // No command that could still start it is under way. One that was lost is
                     // sent again; a task that is to stop is gone.
                     if p.halt.is_some() || p.stage != Stage::Committed {
-                        absent.push(p.attempt);
+                        absent.push(p.slot);
                     } else {
                         p.sent = false;
                     }
@@ -141,14 +141,14 @@
             })
             .collect();
         let warned = m.warned;
-        for attempt in lost {
-            self.release(now, loom, attempt, false);
+        for slot in lost {
+            self.release(now, loom, slot, false);
         }
-        for attempt in absent {
-            self.release(now, loom, attempt, false);
+        for slot in absent {
+            self.release(now, loom, slot, false);
         }
-        for (attempt, cause) in ended {
-            self.ended(ctx, loom, attempt, cause);
+        for (slot, cause) in ended {
+            self.ended(ctx, loom, slot, cause);
         }
         if warned.is_some() {
             self.drain(ctx, loom);
@@ -157,12 +157,12 @@
     }
 
     /// A task has ended on a machine, by a report under the current token.
-    fn ended(&mut self, ctx: &mut Ctx, loom: &Id, attempt: u64, cause: Cause) {
+    fn ended(&mut self, ctx: &mut Ctx, loom: &Id, slot: u64, cause: Cause) {
         let now = ctx.now.mono;
-        let Some(p) = self.release(now, loom, attempt, cause == Cause::Done) else { return };
+        let Some(p) = self.release(now, loom, slot, cause == Cause::Done) else { return };
         let name = format!("{}/{}", p.job, p.piece);
         if let Some(m) = self.looms.get_mut(loom) {
-            m.strangers.push((name.clone(), attempt, Some(cause)));
+            m.strangers.push((name.clone(), p.attempt, Some(cause)));
         }
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
         match cause {
@@ -210,8 +210,8 @@
         j.failures += 1;
         j.failed_on.insert(loom.clone());
         let long = (ctx.set.lease_s * 1000.0) as u64;
-        let steady = |loom: &Id, attempt: u64| {
-            let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.attempt == attempt));
+        let steady = |loom: &Id, slot: u64| {
+            let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.slot == slot));
             place.is_some_and(|p| p.running.is_some_and(|r| now - r > long))
         };
         let does_well =
@@ -395,10 +395,10 @@
         }
         for id in silent {
             let Some(m) = self.looms.get(&id) else { continue };
-            let attempts: Vec<u64> = m.places.iter().map(|p| p.attempt).collect();
-            ctx.log(Severity::Info, format!("machine {id} silent for a lease: {} tasks given up", attempts.len()));
-            for attempt in attempts {
-                self.release(now, &id, attempt, false);
+            let slots: Vec<u64> = m.places.iter().map(|p| p.slot).collect();
+            ctx.log(Severity::Info, format!("machine {id} silent for a lease: {} tasks given up", slots.len()));
+            for slot in slots {
+                self.release(now, &id, slot, false);
             }
         }
     }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -71,6 +71,7 @@
     renew_at: u64,
     renewing: bool,
     pub(crate) attempts: u64,
+    slots: u64,
     pub(crate) jobs: BTreeMap<Id, Job>,
     pub(crate) looms: BTreeMap<Id, Loom>,
     /// Machines proven gone whose records are to be removed, with versions.
@@ -118,6 +119,7 @@
             renew_at: now,
             renewing: false,
             attempts: 0,
+            slots: 0,
             jobs: BTreeMap::new(),
             looms: BTreeMap::new(),
             gone: BTreeMap::new(),
@@ -247,6 +249,7 @@
                         job: id,
                         piece,
                         attempt,
+                        slot: self.next_slot(),
                         need,
                         stage: Stage::Committed,
                         sent: true,
@@ -416,6 +419,12 @@
         (self.epoch << ATTEMPT_BITS) + self.attempts
     }
 
+    /// A new number for a placement inside this process.
+    pub(crate) fn next_slot(&mut self) -> u64 {
+        self.slots += 1;
+        self.slots
+    }
+
     /// Token for a machine.
     pub(crate) fn token(&self, m: &Loom) -> u64 {
         (self.epoch << TOKEN_BITS) + m.bump
@@ -466,7 +475,7 @@
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
         m.used.add(&p.need, 1);
         m.dirty = true;
-        job.live.entry(p.piece).or_default().push((loom.clone(), p.attempt));
+        job.live.entry(p.piece).or_default().push((loom.clone(), p.slot));
         *job.zones.entry(m.hall.clone()).or_default() += 1;
         self.teams.entry(job.spec.crew.clone()).or_default().add(&p.need, 1);
         m.places.push(p);
@@ -475,9 +484,9 @@
     /// Takes a placement off a machine; the caller has the proof that it is gone. The machine's
     /// record is written again, but not for a task that is `done`: its outcome voids what the
     /// record says, which saves a write.
-    pub(crate) fn release(&mut self, now: u64, loom: &Id, attempt: u64, done: bool) -> Option<Placement> {
+    pub(crate) fn release(&mut self, now: u64, loom: &Id, slot: u64, done: bool) -> Option<Placement> {
         let m = self.looms.get_mut(loom)?;
-        let at = m.places.iter().position(|p| p.attempt == attempt)?;
+        let at = m.places.iter().position(|p| p.slot == slot)?;
         let p = m.places.remove(at);
         m.used.add(&p.need, -1);
         m.dirty |= !done;
@@ -487,7 +496,7 @@
         self.replan = true;
         if let Some(job) = self.jobs.get_mut(&p.job) {
             if let Some(list) = job.live.get_mut(&p.piece) {
-                list.retain(|(_, a)| *a != attempt);
+                list.retain(|(_, s)| *s != slot);
                 if list.is_empty() {
                     job.live.remove(&p.piece);
                     job.cursor = job.cursor.min(p.piece);
@@ -514,14 +523,14 @@
         self.changed_jobs.insert(id.clone());
         let Some(job) = self.jobs.get(id) else { return };
         let live: Vec<(Id, u64)> = job.live.values().flatten().cloned().collect();
-        for (loom, attempt) in live {
+        for (loom, slot) in live {
             let Some(m) = self.looms.get_mut(&loom) else { continue };
-            let Some(p) = m.places.iter_mut().find(|p| p.attempt == attempt) else { continue };
+            let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
             if p.sent {
                 p.halt = Some(0.0);
                 m.push = true;
             } else {
-                self.release(ctx.now.mono, &loom, attempt, false);
+                self.release(ctx.now.mono, &loom, slot, false);
             }
         }
     }
@@ -533,8 +542,8 @@
                 .live
                 .values()
                 .flatten()
-                .filter(|(loom, attempt)| {
-                    let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.attempt == *attempt));
+                .filter(|(loom, slot)| {
+                    let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.slot == *slot));
                     place.is_some_and(|p| matches!(p.stage, Stage::Running | Stage::Flushing))
                 })
                 .count();
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -159,6 +159,8 @@
     pub piece: u32,
     /// Attempt.
     pub attempt: u64,
+    /// Its number inside this process.
+    pub slot: u64,
     /// Room it takes.
     pub need: Room,
     /// How far it is.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -117,20 +117,22 @@
                 }
                 let Some(loom) = loom else { break };
                 from = piece + 1;
-                self.plan(now, &id, piece, &loom);
+                let attempt = self.next_attempt();
+                self.plan(now, &id, piece, &loom, attempt);
             }
         }
     }
 
     /// Puts a plan for a task on a machine; nothing leaves before it is committed.
-    fn plan(&mut self, now: u64, id: &Id, piece: u32, loom: &Id) -> u64 {
-        let attempt = self.next_attempt();
+    fn plan(&mut self, now: u64, id: &Id, piece: u32, loom: &Id, attempt: u64) -> u64 {
+        let slot = self.next_slot();
         if let Some(job) = self.jobs.get_mut(id) {
             job.cursor = job.cursor.max(piece);
             let p = Placement {
                 job: id.clone(),
                 piece,
                 attempt,
+                slot,
                 need: job.need,
                 stage: Stage::Planned,
                 sent: false,
@@ -140,13 +142,19 @@
             };
             self.put(loom, p);
         }
-        attempt
+        slot
     }
 
     /// A gang moves as one entry: all its waiting tasks find room, or none is placed. With
     /// `oneZone` each zone is tried.
     fn place_gang(&mut self, ctx: &mut Ctx, id: &Id) {
         let now = ctx.now.mono;
+        // Its tasks share an attempt, by which they find each other; so a gang that lost a task
+        // starts anew when all have ended.
+        if self.jobs.get(id).is_none_or(|j| !j.live.is_empty()) {
+            return;
+        }
+        let attempt = self.next_attempt();
         let zones: Vec<Option<String>> = match self.jobs.get(id) {
             Some(j) if j.spec.one_zone && j.spec.hall.is_none() => {
                 let zones: BTreeSet<String> = self.looms.values().map(|m| m.hall.clone()).collect();
@@ -163,15 +171,15 @@
                 let fits = self.team_allows(ctx, job);
                 let Some(loom) = self.choose(ctx, job, zone.as_deref()).filter(|_| fits) else { break false };
                 from = piece + 1;
-                let attempt = self.plan(now, id, piece, &loom);
-                planned.push((loom, attempt));
+                let slot = self.plan(now, id, piece, &loom, attempt);
+                planned.push((loom, slot));
             };
             if whole {
                 return;
             }
             let replan = self.replan;
-            for (loom, attempt) in planned {
-                self.release(now, &loom, attempt, false);
+            for (loom, slot) in planned {
+                self.release(now, &loom, slot, false);
             }
             self.replan = replan;
         }
@@ -229,7 +237,7 @@
                 .filter(|(_, j)| j.spec.urgency < job.spec.urgency && j.spec.mark_every_s <= 0.0)
                 .map(|(p, _)| (p.running.map_or(0, |r| now.saturating_sub(r)), p))
                 .collect();
-            victims.sort_by_key(|(ran, p)| (*ran, p.attempt));
+            victims.sort_by_key(|(ran, p)| (*ran, p.slot));
             let mut free = m.free();
             let (mut lost, mut list) = (0, Vec::new());
             for (ran, p) in victims {
@@ -238,7 +246,7 @@
                 }
                 free.add(&p.need, 1);
                 lost += ran;
-                list.push(p.attempt);
+                list.push(p.slot);
             }
             if free.fits(&job.need) && !list.is_empty() && best.as_ref().is_none_or(|(l, ..)| lost < *l) {
                 best = Some((lost, m.id.clone(), list));
@@ -246,14 +254,14 @@
         }
         let (_, loom, victims) = best?;
         ctx.log(Severity::Debug, format!("machine {loom}: {} tasks make room for {id}", victims.len()));
-        for attempt in victims {
+        for slot in victims {
             let Some(m) = self.looms.get_mut(&loom) else { continue };
-            let Some(p) = m.places.iter_mut().find(|p| p.attempt == attempt) else { continue };
+            let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
             if p.sent {
                 p.halt = Some(0.0);
                 m.push = true;
             } else {
-                self.release(now, &loom, attempt, false);
+                self.release(now, &loom, slot, false);
             }
         }
         Some(loom)
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -99,10 +99,9 @@
 
     /// A machine is proven gone, by a return that was answered 200.
     fn loom_gone(&mut self, ctx: &mut Ctx, id: &Id) {
-        let attempts: Vec<u64> =
-            self.looms.get(id).map(|m| m.places.iter().map(|p| p.attempt).collect()).unwrap_or_default();
-        for attempt in attempts {
-            self.release(ctx.now.mono, id, attempt, false);
+        let slots: Vec<u64> = self.looms.get(id).map(|m| m.places.iter().map(|p| p.slot).collect()).unwrap_or_default();
+        for slot in slots {
+            self.release(ctx.now.mono, id, slot, false);
         }
         if let Some(m) = self.looms.remove(id) {
             ctx.log(Severity::Info, format!("machine {id} returned"));
--- /dev/null
+++ b/crates/testkit/src/check.rs
@@ -0,0 +1,175 @@
+//! The checker of the protocol's rules: it sees what users are told and what machines do, and
+//! nothing of the service's insides.
+
+use crate::worker::Event;
+use shaleshunt_wire::to_milli;
+use shaleshunt_wire::user::{JobStatus, Shape, Submission};
+use shaleshunt_wire::worker::split_piece;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A machine as far as the rules care.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Type.
+    pub frame: String,
+    /// Zone.
+    pub hall: String,
+    /// Spot.
+    pub borrowed: bool,
+}
+
+/// What has been seen so far.
+#[derive(Default)]
+pub struct Checker {
+    /// Jobs whose users have tried to submit them.
+    pub jobs: BTreeMap<String, Submission>,
+    /// Teams' limits in CPUs; 0 for none.
+    pub limits: BTreeMap<String, f64>,
+    /// Time in which a cancelled job must be gone.
+    pub cancel_ms: u64,
+    on: BTreeMap<String, Vec<(String, u64, Place)>>,
+    /// Tasks completed.
+    pub completed: BTreeSet<String>,
+    /// Jobs accepted.
+    pub accepted: BTreeSet<String>,
+    asked_cancel: BTreeSet<String>,
+    cancelled: BTreeMap<String, u64>,
+    done: BTreeSet<String>,
+    /// Rules broken: which, when and what.
+    pub broken: Vec<String>,
+    /// Starts seen.
+    pub starts: u32,
+}
+
+impl Checker {
+    fn break_rule(&mut self, now: u64, rule: &str, what: &str) {
+        self.broken.push(format!("{rule} at {:.1} s: {what}", now as f64 / 1000.0));
+    }
+
+    /// A machine did something.
+    pub fn machine(&mut self, now: u64, loom: &str, place: &Place, event: &Event) {
+        match event {
+            Event::On(piece, attempt) => self.started(now, loom, place, piece, *attempt),
+            Event::Off(piece, attempt) => {
+                if let Some(list) = self.on.get_mut(piece) {
+                    list.retain(|(l, a, _)| l != loom || a != attempt);
+                }
+            }
+            Event::Completed(piece) => {
+                self.completed.insert(piece.clone());
+            }
+        }
+    }
+
+    fn started(&mut self, now: u64, loom: &str, place: &Place, piece: &str, attempt: u64) {
+        self.starts += 1;
+        let Some((job, _)) = split_piece(piece) else { return };
+        let Some(spec) = self.jobs.get(job).cloned() else {
+            self.break_rule(now, "invented", &format!("{piece} runs, but nobody submitted it"));
+            return;
+        };
+        if let Some((other, ..)) = self.on.get(piece).and_then(|l| l.first()).cloned() {
+            self.break_rule(now, "ran_twice", &format!("{piece} starts on {loom} while on {other}"));
+        }
+        if self.cancelled.get(job).is_some_and(|t| now > t + self.cancel_ms) {
+            self.break_rule(now, "ran_cancelled", &format!("{piece} starts on {loom}"));
+        }
+        let mates: Vec<Place> = self
+            .on
+            .iter()
+            .filter(|(p, _)| split_piece(p).is_some_and(|(j, _)| j == job))
+            .flat_map(|(_, l)| l.iter().map(|(_, _, p)| p.clone()))
+            .collect();
+        let same_zone = mates.iter().filter(|m| m.hall == place.hall).count() as u32 + 1;
+        let wrong = spec.frames.as_ref().is_some_and(|f| !f.contains(&place.frame))
+            || spec.hall.as_ref().is_some_and(|h| *h != place.hall)
+            || place.borrowed && !spec.borrowed
+            || spec.one_zone && mates.iter().any(|m| m.hall != place.hall)
+            || spec.scatter && same_zone > spec.pieces.div_ceil(2);
+        if wrong {
+            self.break_rule(now, "wrong_place", &format!("{piece} starts on {loom}"));
+        }
+        self.on.entry(piece.into()).or_default().push((loom.into(), attempt, place.clone()));
+        let limit = self.limits.get(&spec.crew).copied().unwrap_or(0.0);
+        let used: i64 = self
+            .on
+            .iter()
+            .filter_map(|(p, l)| split_piece(p).and_then(|(j, _)| self.jobs.get(j)).map(|s| (s, l.len() as i64)))
+            .filter(|(s, _)| s.crew == spec.crew)
+            .map(|(s, n)| to_milli(s.cores) * n)
+            .sum();
+        if limit > 0.0 && used > to_milli(limit) {
+            self.break_rule(now, "quota", &format!("{} uses {} of {limit}", spec.crew, used as f64 / 1000.0));
+        }
+    }
+
+    /// A user asks to cancel a job.
+    pub fn asks_cancel(&mut self, job: &str) {
+        self.asked_cancel.insert(job.into());
+    }
+
+    /// A user was told something about a job: HTTP status and the state, if any.
+    pub fn told(&mut self, now: u64, job: &str, status: u16, state: Option<JobStatus>) {
+        match (status, state) {
+            (404, _) if self.accepted.contains(job) => self.break_rule(now, "forgotten", &format!("404 for {job}")),
+            (400 | 422, _) if self.accepted.contains(job) => {
+                self.break_rule(now, "forgotten", &format!("{status} for {job}"));
+            }
+            (200 | 201, Some(state)) => {
+                let Some(spec) = self.jobs.get(job).cloned() else {
+                    self.break_rule(now, "invented", &format!("{job} is {state:?}"));
+                    return;
+                };
+                self.accepted.insert(job.into());
+                if self.done.contains(job) && state != JobStatus::Done
+                    || self.cancelled.contains_key(job) && state != JobStatus::Aborted
+                    || state == JobStatus::Aborted && !self.asked_cancel.contains(job)
+                {
+                    self.break_rule(now, "went_back", &format!("{job} is {state:?}"));
+                }
+                if state == JobStatus::Done && self.done.insert(job.into()) {
+                    let all = (0..spec.pieces).all(|n| self.completed.contains(&format!("{job}/{n}")));
+                    if !all || spec.shape == Shape::Daemon {
+                        self.break_rule(now, "not_done", job);
+                    }
+                }
+                if state == JobStatus::Aborted {
+                    self.cancelled.entry(job.into()).or_insert(now);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Looks for cancelled jobs that are still on a machine.
+    pub fn turn(&mut self, now: u64) {
+        let late: Vec<String> = self
+            .on
+            .iter()
+            .filter(|(_, l)| !l.is_empty())
+            .map(|(p, _)| p.clone())
+            .filter(|p| {
+                let job = split_piece(p).map_or("", |(j, _)| j);
+                self.cancelled.get(job).is_some_and(|t| now > t + self.cancel_ms && now < t + self.cancel_ms + 1000)
+            })
+            .collect();
+        for p in late {
+            self.break_rule(now, "ran_cancelled", &format!("{p} is still on a machine"));
+        }
+    }
+
+    /// How many of a job's tasks are on machines now.
+    pub fn running(&self, job: &str) -> usize {
+        self.on.iter().filter(|(p, _)| split_piece(p).is_some_and(|(j, _)| j == job)).map(|(_, l)| l.len()).sum()
+    }
+
+    /// Whether a user was told that a job is done.
+    pub fn is_done(&self, job: &str) -> bool {
+        self.done.contains(job)
+    }
+
+    /// Whether a user was told that a job is cancelled.
+    pub fn is_cancelled(&self, job: &str) -> bool {
+        self.cancelled.contains_key(job)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/scenario.rs
@@ -0,0 +1,368 @@
+//! Scenarios: small text files, one line a fact, a trouble or an expectation.
+
+use crate::world::{LEADER, Side, Trouble, World};
+use shaleshunt_core::settings::{Aim, Settings, Team};
+use shaleshunt_wire::cloud::Frame;
+use shaleshunt_wire::user::{Shape, Submission, Urgency};
+use std::collections::BTreeMap;
+
+/// What is wrong with a scenario's text.
+#[derive(Debug, thiserror::Error)]
+#[error("line {line}: {what}")]
+pub struct BadLine {
+    line: usize,
+    what: String,
+}
+
+/// A scenario that has been read.
+pub struct Scenario {
+    seeds: u64,
+    nodes: usize,
+    report_s: f64,
+    lease_s: f64,
+    cancel_s: f64,
+    write_rps: f64,
+    zones: Vec<String>,
+    teams: BTreeMap<String, Team>,
+    aims: BTreeMap<String, Aim>,
+    frames: Vec<Frame>,
+    capacity: Vec<(String, String, u32, u32)>,
+    machines: Vec<(String, String, u32)>,
+    jobs: Vec<(Submission, u64, Option<u64>)>,
+    troubles: Vec<(u64, Trouble)>,
+    until: u64,
+    expects: Vec<(usize, Vec<String>)>,
+}
+
+struct Words<'a>(Vec<&'a str>, usize);
+
+impl<'a> Words<'a> {
+    fn fail<T>(&self, what: impl Into<String>) -> Result<T, BadLine> {
+        Err(BadLine { line: self.1, what: what.into() })
+    }
+    fn next(&mut self) -> Result<&'a str, BadLine> {
+        if self.0.is_empty() { self.fail("ends early") } else { Ok(self.0.remove(0)) }
+    }
+    fn number<T: std::str::FromStr>(&mut self) -> Result<T, BadLine> {
+        let w = self.next()?;
+        w.parse().or_else(|_| self.fail(format!("not a number: {w}")))
+    }
+    fn ms(&mut self) -> Result<u64, BadLine> {
+        Ok((self.number::<f64>()? * 1000.0) as u64)
+    }
+    fn word(&mut self, want: &str) -> Result<(), BadLine> {
+        let w = self.next()?;
+        if w == want { Ok(()) } else { self.fail(format!("{want} expected, not {w}")) }
+    }
+    fn node(&mut self) -> Result<usize, BadLine> {
+        if self.0.first() == Some(&"leader") {
+            self.0.remove(0);
+            return Ok(LEADER);
+        }
+        self.number()
+    }
+}
+
+impl Scenario {
+    /// Reads a scenario.
+    pub fn parse(text: &str) -> Result<Scenario, BadLine> {
+        let mut s = Scenario {
+            seeds: 1,
+            nodes: 3,
+            report_s: 3.0,
+            lease_s: 27.0,
+            cancel_s: 52.0,
+            write_rps: 80.0,
+            zones: vec!["a".into(), "b".into(), "c".into()],
+            teams: BTreeMap::from([("t".to_string(), Team::default())]),
+            aims: BTreeMap::new(),
+            frames: Vec::new(),
+            capacity: Vec::new(),
+            machines: Vec::new(),
+            jobs: Vec::new(),
+            troubles: Vec::new(),
+            until: 60_000,
+            expects: Vec::new(),
+        };
+        for (n, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default();
+            let mut w = Words(line.split_whitespace().collect(), n + 1);
+            if w.0.is_empty() {
+                continue;
+            }
+            match w.next()? {
+                "seeds" => s.seeds = w.number()?,
+                "nodes" => s.nodes = w.number()?,
+                "zones" => s.zones = w.0.drain(..).map(str::to_string).collect(),
+                "report" => s.report_s = w.number()?,
+                "lease" => s.lease_s = w.number()?,
+                "cancel" => s.cancel_s = w.number()?,
+                "writes" => s.write_rps = w.number()?,
+                "team" => {
+                    let name = w.next()?.to_string();
+                    let limit: f64 = w.number()?;
+                    let guarantee: f64 = w.number()?;
+                    let milli = shaleshunt_wire::to_milli;
+                    s.teams.insert(name, Team { guarantee: (milli(guarantee), 0), limit: (milli(limit), 0) });
+                }
+                "aim" => {
+                    let class = w.next()?.to_string();
+                    let aim = s.aims.entry(class).or_default();
+                    match w.next()? {
+                        "wait" => aim.start_s = Some(w.number()?),
+                        "finished" => aim.finish_s = Some(w.number()?),
+                        other => return w.fail(format!("no such aim: {other}")),
+                    }
+                }
+                "frame" => s.frames.push(frame(&mut w, &s.zones)?),
+                "capacity" => {
+                    let place = (w.next()?.into(), w.next()?.into(), w.number()?, w.number()?);
+                    s.capacity.push(place);
+                }
+                "machines" => s.machines.push((w.next()?.into(), w.next()?.into(), w.number()?)),
+                "job" => s.jobs.push(job(&mut w)?),
+                "at" => {
+                    let at = w.ms()?;
+                    let t = trouble(&mut w)?;
+                    s.troubles.push((at, t));
+                }
+                "until" => s.until = w.ms()?,
+                "expect" => s.expects.push((n + 1, w.0.drain(..).map(str::to_string).collect())),
+                other => return w.fail(format!("no such line: {other}")),
+            }
+            if !w.0.is_empty() {
+                return w.fail(format!("left over: {}", w.0.join(" ")));
+            }
+        }
+        Ok(s)
+    }
+
+    fn settings(&self, i: usize) -> Settings {
+        let label = |i: usize| format!("n{i}");
+        let zone = |i: usize| self.zones[i % self.zones.len()].clone();
+        Settings {
+            label: label(i),
+            location: zone(i),
+            peers: (0..self.nodes).filter(|&k| k != i).map(|k| (label(k), zone(k))).collect(),
+            zones: self.zones.clone(),
+            teams: self.teams.clone(),
+            aims: self.aims.clone(),
+            report_s: self.report_s,
+            lease_s: self.lease_s,
+            cancel_s: self.cancel_s,
+            state_rps: 200.0,
+            state_write_rps: self.write_rps,
+            value_kb: 16.0,
+            txn_ops: 24,
+            cloud_rps: 5.0,
+            list_lag_s: 3.0,
+            mem_mb: 128.0,
+        }
+    }
+
+    /// Builds the world for a seed.
+    pub fn world(&self, seed: u64) -> World {
+        let mut w = World::new((0..self.nodes).map(|i| self.settings(i)).collect(), seed);
+        w.cloud.catalog.frames = self.frames.clone();
+        w.cloud.lag_ms = 3000;
+        for (f, z, plain, spot) in &self.capacity {
+            w.cloud.capacity.insert((f.clone(), z.clone(), false), *plain);
+            w.cloud.capacity.insert((f.clone(), z.clone(), true), *spot);
+        }
+        for (f, z, n) in &self.machines {
+            for _ in 0..*n {
+                w.cloud.give(0, f, z, false, Some(0));
+            }
+        }
+        for (spec, at, withdraw) in &self.jobs {
+            w.user(spec.clone(), *at, *withdraw);
+        }
+        for (at, t) in &self.troubles {
+            w.trouble(*at, t.clone());
+        }
+        w
+    }
+
+    /// Plays the scenario with all its seeds; what went wrong, if anything.
+    pub fn play(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for seed in 1..=self.seeds {
+            let mut w = self.world(seed);
+            w.run(self.until);
+            wrong.extend(w.check.broken.iter().map(|b| format!("seed {seed}: {b}")));
+            for (line, words) in &self.expects {
+                if let Err(what) = expect(&w, words) {
+                    wrong.push(format!("seed {seed}, line {line}: {what}"));
+                }
+            }
+        }
+        wrong
+    }
+}
+
+fn expect(w: &World, words: &[String]) -> Result<(), String> {
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let number = |t: &str| t.parse::<f64>().map_err(|_| format!("not a number: {t}"));
+    let over = |job: &str| w.users.get(job).and_then(|u| u.over_at).map(|t| t as f64 / 1000.0);
+    let check = |ok: bool, what: String| if ok { Ok(()) } else { Err(what) };
+    match words[..] {
+        ["done", job] => check(w.check.is_done(job), format!("{job} is not done")),
+        ["done", job, "by", t] => {
+            let t = number(t)?;
+            let when = over(job).filter(|_| w.check.is_done(job));
+            check(when.is_some_and(|at| at <= t), format!("{job} done at {when:?}, not by {t}"))
+        }
+        ["all", "over"] => {
+            let open: Vec<&String> = w.users.iter().filter(|(_, u)| u.over_at.is_none()).map(|(j, _)| j).collect();
+            check(open.is_empty(), format!("not over: {open:?}"))
+        }
+        ["cancelled", job] => check(w.check.is_cancelled(job), format!("{job} is not cancelled")),
+        ["open", job] => check(over(job).is_none(), format!("{job} is over")),
+        ["running", job, n] => {
+            let (have, want) = (w.check.running(job), number(n)? as usize);
+            check(have == want, format!("{have} tasks of {job} run, not {want}"))
+        }
+        ["starts", n] => {
+            let want = number(n)? as u32;
+            check(w.check.starts == want, format!("{} starts, not {want}", w.check.starts))
+        }
+        ["starts", "at-most", n] => {
+            let most = number(n)? as u32;
+            check(w.check.starts <= most, format!("{} starts, more than {most}", w.check.starts))
+        }
+        ["leaders", n] => {
+            let want = number(n)? as usize;
+            check(w.leaders() == want, format!("{} leaders, not {want}", w.leaders()))
+        }
+        ["stored", prefix, n] => {
+            let (have, want) = (w.stored(prefix), number(n)? as usize);
+            check(have == want, format!("{have} keys under {prefix}, not {want}"))
+        }
+        ["machines", "at-most", n] => {
+            let most = number(n)? as usize;
+            check(w.workers.len() <= most, format!("{} machines, more than {most}", w.workers.len()))
+        }
+        ["machines", "at-least", n] => {
+            let least = number(n)? as usize;
+            check(w.workers.len() >= least, format!("{} machines, fewer than {least}", w.workers.len()))
+        }
+        _ => Err(format!("no such expectation: {}", words.join(" "))),
+    }
+}
+
+fn frame(w: &mut Words, zones: &[String]) -> Result<Frame, BadLine> {
+    let mut f = Frame {
+        name: w.next()?.into(),
+        cores: 16.0,
+        cards: 0.0,
+        ram_gb: 64.0,
+        local_gb: 50.0,
+        fetch_gb_per_s: 0.5,
+        price: 2.0,
+        market_price: 0.5,
+        boot_s: 20.0,
+        halls: zones.to_vec(),
+    };
+    while !w.0.is_empty() {
+        match w.next()? {
+            "cores" => f.cores = w.number()?,
+            "ram" => f.ram_gb = w.number()?,
+            "boot" => f.boot_s = w.number()?,
+            "fetch" => f.fetch_gb_per_s = w.number()?,
+            other => return w.fail(format!("no such word of a frame: {other}")),
+        }
+    }
+    Ok(f)
+}
+
+fn job(w: &mut Words) -> Result<(Submission, u64, Option<u64>), BadLine> {
+    let mut s = Submission {
+        id: w.next()?.into(),
+        jobline: "work".into(),
+        crew: "t".into(),
+        shape: Shape::Array,
+        urgency: Urgency::Normal,
+        pieces: 1,
+        cores: 2.0,
+        cards: 0.0,
+        ram_gb: 4.0,
+        bundle: "img".into(),
+        image_gb: 0.5,
+        frames: None,
+        hall: None,
+        one_zone: false,
+        scatter: false,
+        borrowed: false,
+        expect_s: 10.0,
+        mark_every_s: 0.0,
+        mark_takes_s: 0.0,
+        due_s: None,
+    };
+    w.word("at")?;
+    let at = w.ms()?;
+    let mut withdraw = None;
+    while !w.0.is_empty() {
+        match w.next()? {
+            "array" => s.shape = Shape::Array,
+            "service" => (s.shape, s.expect_s) = (Shape::Daemon, 0.0),
+            "gang" => s.shape = Shape::Ensemble,
+            "pieces" => s.pieces = w.number()?,
+            "cores" => s.cores = w.number()?,
+            "ram" => s.ram_gb = w.number()?,
+            "run" => s.expect_s = w.number()?,
+            "due" => s.due_s = Some(w.number()?),
+            "crew" => s.crew = w.next()?.into(),
+            "class" => s.jobline = w.next()?.into(),
+            "image" => s.bundle = w.next()?.into(),
+            "hall" => s.hall = Some(w.next()?.into()),
+            "frames" => s.frames = Some(w.next()?.split(',').map(str::to_string).collect()),
+            "scatter" => s.scatter = true,
+            "onezone" => s.one_zone = true,
+            "spot" => s.borrowed = true,
+            "prod" => s.urgency = Urgency::Prod,
+            "high" => s.urgency = Urgency::High,
+            "low" => s.urgency = Urgency::BestEffort,
+            "withdraw" => withdraw = Some(w.ms()?),
+            other => return w.fail(format!("no such word of a job: {other}")),
+        }
+    }
+    Ok((s, at, withdraw))
+}
+
+fn trouble(w: &mut Words) -> Result<Trouble, BadLine> {
+    let t = match w.next()? {
+        "kill" => {
+            let mut nodes = Vec::new();
+            while w.0.first() != Some(&"for") {
+                nodes.push(w.node()?);
+            }
+            w.word("for")?;
+            Trouble::Kill(nodes, w.ms()?)
+        }
+        "state-down" => Trouble::StateDown(w.ms()?),
+        "state-refuses" => Trouble::StateRefuses(w.node()?, w.ms()?),
+        kind @ ("cut" | "cut-held") => {
+            let node = w.node()?;
+            let side = match w.next()? {
+                "state" => Side::State,
+                "workers" => Side::Workers,
+                "all" => Side::All,
+                other => return w.fail(format!("no such side: {other}")),
+            };
+            Trouble::Cut(node, side, w.ms()?, kind == "cut-held")
+        }
+        "late-txns" => Trouble::LateTxn(w.number()?, w.ms()?),
+        "late-orders" => Trouble::LateOrders(w.next()?.into(), w.ms()?, w.ms()?),
+        "hang" => Trouble::Hang(w.next()?.into(), w.ms()?),
+        "sick" => Trouble::Sick(w.next()?.into(), w.ms()?),
+        "lost" => Trouble::Lost(w.next()?.into()),
+        "lost-under" => Trouble::LostUnder(w.next()?.into()),
+        "taken" => Trouble::Taken(w.next()?.into(), w.ms()?),
+        "cloud-down" => Trouble::CloudDown(w.ms()?),
+        "late-hires" => Trouble::LateHires(w.ms()?, w.ms()?),
+        "duds" => Trouble::Duds(w.number()?),
+        "broken" => Trouble::Broken(w.next()?.into()),
+        other => return w.fail(format!("no such trouble: {other}")),
+    };
+    Ok(t)
+}
--- /dev/null
+++ b/crates/testkit/src/state.rs
@@ -0,0 +1,181 @@
+//! The state service: keys, leases, watches and transactions, as the protocol has them.
+
+use serde_json::Value;
+use shaleshunt_core::{IoError, StateReply, StateRequest};
+use shaleshunt_wire::state::{Change, News, Page, Pair, Txn, Write};
+use std::collections::BTreeMap;
+
+/// A watch that waits.
+#[derive(Debug)]
+pub struct Watch {
+    /// Whose it is: node and its number of lives.
+    pub who: (usize, u32),
+    /// Its request.
+    pub id: u64,
+    prefix: String,
+    after: u64,
+    until: u64,
+}
+
+/// The stand-in.
+#[derive(Default)]
+pub struct StateService {
+    keys: BTreeMap<String, (Value, u64, Option<u64>)>,
+    ledger: u64,
+    holds: BTreeMap<u64, (u64, u64)>,
+    next_hold: u64,
+    log: Vec<Change>,
+    watches: Vec<Watch>,
+    /// Out of order for everybody.
+    pub down: bool,
+}
+
+impl StateService {
+    /// Carries out a request; `None` for a watch that waits.
+    pub fn handle(
+        &mut self,
+        now: u64,
+        who: (usize, u32),
+        id: u64,
+        request: StateRequest,
+    ) -> Option<Result<StateReply, IoError>> {
+        if self.down {
+            return Some(Err(IoError::Refused));
+        }
+        Some(match request {
+            StateRequest::Get { key } => Ok(match self.keys.get(&key) {
+                Some((v, stamp, pass)) => {
+                    StateReply::Found(Pair { path: key, v: v.clone(), stamp: *stamp, pass: *pass })
+                }
+                None => StateReply::Missing,
+            }),
+            StateRequest::Scan { prefix, after } => {
+                let all = self.keys.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
+                // Small pages, so that paging is played.
+                let mut pairs: Vec<Pair> = all
+                    .take(8)
+                    .map(|(k, (v, stamp, pass))| Pair { path: k.clone(), v: v.clone(), stamp: *stamp, pass: *pass })
+                    .collect();
+                let truncated = pairs.len() == 8;
+                if truncated {
+                    pairs.pop();
+                }
+                Ok(StateReply::Page(Page { pairs, truncated, ledger: self.ledger }))
+            }
+            StateRequest::Txn(txn) => self.txn(txn),
+            StateRequest::NewHold { life_ms } => {
+                self.next_hold += 1;
+                self.holds.insert(self.next_hold, (now + life_ms, life_ms));
+                Ok(StateReply::Hold(self.next_hold))
+            }
+            StateRequest::Renew { pass } => Ok(match self.holds.get_mut(&pass) {
+                Some(h) => {
+                    h.0 = now + h.1;
+                    StateReply::Fine
+                }
+                None => StateReply::Missing,
+            }),
+            StateRequest::EndHold { pass } => {
+                let there = self.holds.contains_key(&pass);
+                self.end_hold(pass);
+                Ok(if there { StateReply::Fine } else { StateReply::Missing })
+            }
+            StateRequest::Watch { prefix, after, hold_ms } => {
+                self.watches.push(Watch { who, id, prefix, after, until: now + hold_ms });
+                return None;
+            }
+        })
+    }
+
+    fn txn(&mut self, txn: Txn) -> Result<StateReply, IoError> {
+        let failed: Vec<String> = txn
+            .conditions
+            .iter()
+            .filter(|c| self.keys.get(&c.path).map_or(0, |k| k.1) != c.stamp)
+            .map(|c| c.path.clone())
+            .collect();
+        if !failed.is_empty() {
+            return Ok(StateReply::Conflict(failed));
+        }
+        let lapsed = |w: &Write| matches!(w, Write::Set { pass: Some(p), .. } if !self.holds.contains_key(p));
+        if txn.writes.iter().any(lapsed) {
+            return Err(IoError::Rejected("no such lease".into()));
+        }
+        for w in &txn.writes {
+            if !txn.conditions.iter().any(|c| c.path == *key_of(w)) {
+                return Err(IoError::Rejected(format!("write of {} without a condition on it", key_of(w))));
+            }
+        }
+        if txn.writes.is_empty() {
+            return Ok(StateReply::Committed(self.ledger));
+        }
+        self.ledger += 1;
+        for w in txn.writes {
+            match w {
+                Write::Set { set, v, pass } => self.set(set, v, pass),
+                Write::Drop { drop } => self.remove(drop),
+            }
+        }
+        Ok(StateReply::Committed(self.ledger))
+    }
+
+    fn set(&mut self, key: String, v: Value, pass: Option<u64>) {
+        self.log.push(Change { set: Some(key.clone()), drop: None, v: Some(v.clone()), stamp: self.ledger });
+        self.keys.insert(key, (v, self.ledger, pass));
+    }
+
+    fn remove(&mut self, key: String) {
+        if self.keys.remove(&key).is_some() {
+            self.log.push(Change { set: None, drop: Some(key), v: None, stamp: self.ledger });
+        }
+    }
+
+    fn end_hold(&mut self, pass: u64) {
+        if self.holds.remove(&pass).is_some() {
+            let keys: Vec<String> =
+                self.keys.iter().filter(|(_, k)| k.2 == Some(pass)).map(|(k, _)| k.clone()).collect();
+            if !keys.is_empty() {
+                self.ledger += 1;
+                keys.into_iter().for_each(|k| self.remove(k));
+            }
+        }
+    }
+
+    /// Ends leases and answers watches that are due.
+    pub fn turn(&mut self, now: u64) -> Vec<((usize, u32), u64, StateReply)> {
+        if self.down {
+            // After an outage every lease has its full time again; open watches stay open.
+            for (until, life) in self.holds.values_mut() {
+                *until = now + *life;
+            }
+            return Vec::new();
+        }
+        let over: Vec<u64> = self.holds.iter().filter(|(_, h)| h.0 < now).map(|(p, _)| *p).collect();
+        over.into_iter().for_each(|p| self.end_hold(p));
+        let (log, ledger) = (&self.log, self.ledger);
+        let mut out = Vec::new();
+        self.watches.retain(|w| {
+            let from = log.partition_point(|c| c.stamp <= w.after);
+            let is_ours = |c: &&Change| c.set.as_ref().or(c.drop.as_ref()).is_some_and(|k| k.starts_with(&w.prefix));
+            let news: Vec<Change> = log[from..].iter().filter(is_ours).cloned().collect();
+            if news.is_empty() && now < w.until {
+                return true;
+            }
+            out.push((w.who, w.id, StateReply::News(News { ledger, news })));
+            false
+        });
+        out
+    }
+
+    /// All keys with a prefix, for the checker.
+    pub fn dump(&self, prefix: &str) -> Vec<(String, Value)> {
+        self.keys.iter().filter(|(k, _)| k.starts_with(prefix)).map(|(k, v)| (k.clone(), v.0.clone())).collect()
+    }
+}
+
+fn key_of(w: &Write) -> &String {
+    match w {
+        Write::Set { set, .. } => set,
+        Write::Drop { drop } => drop,
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/worker.rs
@@ -0,0 +1,293 @@
+//! A worker: session, lease, token and tasks.
+
+use shaleshunt_wire::Room;
+use shaleshunt_wire::user::{Shape, Submission};
+use shaleshunt_wire::worker::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A task on the machine.
+#[derive(Debug, Clone)]
+pub struct Task {
+    /// Attempt.
+    pub attempt: u64,
+    /// State.
+    pub status: PieceStatus,
+    /// Why it ended.
+    pub cause: Option<Cause>,
+    need: Room,
+    bundle: String,
+    /// When it has its image.
+    image_at: u64,
+    /// When it ends by itself.
+    ends_at: Option<u64>,
+}
+
+/// Something that the checker wants to know.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A task is on the machine, with its image.
+    On(String, u64),
+    /// A task is off the machine.
+    Off(String, u64),
+    /// A task has completed.
+    Completed(String),
+}
+
+/// The stand-in.
+pub struct Worker {
+    /// Name, also its address.
+    pub id: String,
+    /// Type.
+    pub frame: String,
+    /// Zone.
+    pub hall: String,
+    /// Spot.
+    pub borrowed: bool,
+    room: Room,
+    fetch: f64,
+    /// Session.
+    pub shift: u64,
+    tick: u64,
+    /// Highest token seen.
+    pub baton: u64,
+    /// Tasks by name.
+    pub tasks: BTreeMap<String, Vec<Task>>,
+    images: BTreeSet<String>,
+    /// When the last answered report was sent.
+    answered: u64,
+    lease_ms: u64,
+    /// Report under way: when it was sent, its session and number.
+    pub waiting: Option<(u64, u64, u64)>,
+    /// Node reported to.
+    pub node: usize,
+    /// When to report next.
+    pub report_at: u64,
+    changed: bool,
+    last_report: u64,
+    /// Seconds until it is taken.
+    pub warn_s: Option<f64>,
+    /// Neither runs nor talks until then.
+    pub hangs_until: u64,
+    /// Fails every task until then.
+    pub sick_until: u64,
+    /// Events since last asked.
+    pub events: Vec<Event>,
+}
+
+impl Worker {
+    /// A worker that has just come up.
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        id: &str,
+        frame: &str,
+        hall: &str,
+        borrowed: bool,
+        room: Room,
+        fetch: f64,
+        lease_ms: u64,
+        now: u64,
+    ) -> Self {
+        Worker {
+            id: id.into(),
+            frame: frame.into(),
+            hall: hall.into(),
+            borrowed,
+            room,
+            fetch,
+            shift: 1,
+            tick: 0,
+            baton: 0,
+            tasks: BTreeMap::new(),
+            images: BTreeSet::new(),
+            answered: now,
+            lease_ms,
+            waiting: None,
+            node: 0,
+            report_at: now,
+            changed: false,
+            last_report: 0,
+            warn_s: None,
+            hangs_until: 0,
+            sick_until: 0,
+            events: Vec::new(),
+        }
+    }
+
+    /// The report as of now.
+    pub fn report(&mut self) -> Report {
+        self.tick += 1;
+        let pieces = self
+            .tasks
+            .iter()
+            .flat_map(|(name, list)| {
+                list.iter().map(move |t| PieceReport {
+                    piece: name.clone(),
+                    attempt: t.attempt,
+                    status: t.status,
+                    cause: t.cause,
+                    stored: None,
+                })
+            })
+            .collect();
+        Report {
+            loom: self.id.clone(),
+            endpoint: self.id.clone(),
+            frame: self.frame.clone(),
+            hall: self.hall.clone(),
+            borrowed: self.borrowed,
+            shift: self.shift,
+            tick: self.tick,
+            baton: self.baton,
+            warn_s: self.warn_s,
+            pieces,
+        }
+    }
+
+    /// Begins a report if one is due.
+    pub fn begin_report(&mut self, now: u64, interval: u64) -> Option<Report> {
+        let due = now >= self.report_at || self.changed && now >= self.last_report + 500;
+        if self.waiting.is_some() || !due {
+            return None;
+        }
+        let r = self.report();
+        self.waiting = Some((now, r.shift, r.tick));
+        (self.changed, self.last_report, self.report_at) = (false, now, now + interval);
+        Some(r)
+    }
+
+    /// An answered report: whether it was taken.
+    pub fn answer(&mut self, now: u64, sent: (u64, u64, u64), reply: ReportReply, jobs: &BTreeMap<String, Submission>) {
+        if self.waiting != Some(sent) {
+            return;
+        }
+        self.waiting = None;
+        if sent.1 != self.shift || reply.baton < self.baton {
+            return;
+        }
+        self.changed |= reply.baton > self.baton;
+        self.baton = reply.baton;
+        self.answered = sent.0;
+        for o in reply.orders {
+            self.execute(now, o, jobs);
+        }
+    }
+
+    /// Direct commands: the report after them, and whether they were executed.
+    pub fn orders(&mut self, now: u64, o: Orders, jobs: &BTreeMap<String, Submission>) -> (bool, Report) {
+        let fine = o.baton >= self.baton && o.shift == self.shift;
+        if fine {
+            self.changed |= o.baton > self.baton;
+            self.baton = o.baton;
+            for order in o.orders {
+                self.execute(now, order, jobs);
+            }
+        }
+        (fine, self.report())
+    }
+
+    fn execute(&mut self, now: u64, order: Order, jobs: &BTreeMap<String, Submission>) {
+        match order {
+            Order::Run { piece, attempt } => {
+                let held = self.tasks.get(&piece).cloned().unwrap_or_default();
+                if held.iter().any(|t| t.attempt == attempt) {
+                    return;
+                }
+                self.changed = true;
+                let job = split_piece(&piece).and_then(|(j, n)| jobs.get(j).filter(|s| n < s.pieces));
+                let mut used = Room::default();
+                for t in self.tasks.values().flatten().filter(|t| t.status != PieceStatus::Exited) {
+                    used.add(&t.need, 1);
+                }
+                let refusal = match job {
+                    None => Some(Cause::NoSuch),
+                    Some(_) if held.iter().any(|t| t.status != PieceStatus::Exited) => Some(Cause::InUse),
+                    Some(s) => {
+                        used.add(&s.need(), 1);
+                        (!self.room.fits(&used)).then_some(Cause::NoRoom)
+                    }
+                };
+                let (need, bundle, gb) =
+                    job.map_or((Room::default(), String::new(), 0.0), |s| (s.need(), s.bundle.clone(), s.image_gb));
+                let fetch = if self.images.contains(&bundle) { 0.0 } else { gb / self.fetch * 1000.0 };
+                let status = if refusal.is_some() { PieceStatus::Exited } else { PieceStatus::Fetching };
+                let image_at = now + fetch as u64;
+                let t = Task { attempt, status, cause: refusal, need, bundle, image_at, ends_at: None };
+                self.tasks.entry(piece).or_default().push(t);
+            }
+            Order::Halt { piece, attempt, .. } => {
+                let task = self.tasks.get_mut(&piece).and_then(|l| l.iter_mut().find(|t| t.attempt == attempt));
+                if let Some(t) = task.filter(|t| t.status != PieceStatus::Exited) {
+                    if t.status == PieceStatus::Running {
+                        self.events.push(Event::Off(piece, attempt));
+                    }
+                    t.status = PieceStatus::Exited;
+                    t.cause = Some(Cause::Stopped);
+                    self.changed = true;
+                }
+            }
+            Order::Forget { piece, attempt } => {
+                if let Some(list) = self.tasks.get_mut(&piece) {
+                    list.retain(|t| t.attempt != attempt || t.status != PieceStatus::Exited);
+                    if list.is_empty() {
+                        self.tasks.remove(&piece);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Lets time pass: images arrive, tasks end, the lease runs out.
+    pub fn turn(
+        &mut self,
+        now: u64,
+        jobs: &BTreeMap<String, Submission>,
+        completed: &BTreeSet<String>,
+        broken: &BTreeSet<String>,
+    ) {
+        if now > self.answered + self.lease_ms {
+            for (piece, list) in std::mem::take(&mut self.tasks) {
+                for t in list.iter().filter(|t| t.status == PieceStatus::Running) {
+                    self.events.push(Event::Off(piece.clone(), t.attempt));
+                }
+            }
+            self.shift += 1;
+            self.tick = 0;
+            self.answered = now;
+            self.changed = true;
+        }
+        for (piece, list) in &mut self.tasks {
+            let Some((job, _)) = split_piece(piece) else { continue };
+            let Some(spec) = jobs.get(job) else { continue };
+            for t in list {
+                if t.status == PieceStatus::Fetching && now >= t.image_at {
+                    self.images.insert(t.bundle.clone());
+                    t.status = PieceStatus::Running;
+                    self.events.push(Event::On(piece.clone(), t.attempt));
+                    let run = if completed.contains(piece) { 0.0 } else { spec.expect_s.max(0.1) };
+                    t.ends_at = (spec.shape != Shape::Daemon).then_some(now + (run * 1000.0) as u64);
+                    self.changed = true;
+                }
+                let fails = now < self.sick_until || broken.contains(job);
+                if t.status == PieceStatus::Running && (fails || t.ends_at.is_some_and(|e| now >= e)) {
+                    t.status = PieceStatus::Exited;
+                    t.cause = Some(if fails { Cause::Error } else { Cause::Done });
+                    if !fails {
+                        self.events.push(Event::Completed(piece.clone()));
+                    }
+                    self.events.push(Event::Off(piece.clone(), t.attempt));
+                    self.changed = true;
+                }
+            }
+        }
+    }
+
+    /// The machine is gone with all that is on it.
+    pub fn die(&mut self) -> Vec<Event> {
+        for (piece, list) in std::mem::take(&mut self.tasks) {
+            for t in list.iter().filter(|t| t.status == PieceStatus::Running) {
+                self.events.push(Event::Off(piece.clone(), t.attempt));
+            }
+        }
+        std::mem::take(&mut self.events)
+    }
+}
--- /dev/null
+++ b/crates/testkit/src/world.rs
@@ -0,0 +1,718 @@
+//! The simulated world: nodes around the owner's code, a network with troubles, users.
+
+use crate::check::{Checker, Place};
+use crate::cloud::Cloud;
+use crate::state::StateService;
+use crate::worker::Worker;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use shaleshunt_core::io::{Answer, CloudRequest, Command, Effect, OrdersReply};
+use shaleshunt_core::{IoError, Node, Now, Settings, StateRequest, Tuning};
+use shaleshunt_peer::Frame;
+use shaleshunt_wire::user::{JobStatus, Submission};
+use shaleshunt_wire::worker::{Orders, Report};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// Steady clocks start here, and the time of day is this much ahead of them.
+const DAY: u64 = 1_700_000_000_000;
+/// Stands for the node that leads when a trouble begins.
+pub const LEADER: usize = usize::MAX;
+/// Interval between ticks.
+const TICK: u64 = 20;
+
+type Life = (usize, u32);
+
+#[derive(Debug)]
+enum What {
+    Tick,
+    ToState(Life, u64, StateRequest),
+    ToCloud(Life, u64, CloudRequest),
+    ToWorker(Life, u64, String, Orders),
+    ToNode(Life, Command),
+    TimedOut(Life, u64, Kind),
+    Checkin(usize, Report, (u64, u64, u64)),
+    Restart(usize),
+    User(String),
+    Script(usize),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Kind {
+    State,
+    Cloud,
+    Orders,
+}
+
+struct Item(u64, u64, What);
+
+impl PartialEq for Item {
+    fn eq(&self, other: &Self) -> bool {
+        (self.0, self.1) == (other.0, other.1)
+    }
+}
+impl Eq for Item {}
+impl PartialOrd for Item {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+impl Ord for Item {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (self.0, self.1).cmp(&(other.0, other.1))
+    }
+}
+
+/// What a user does with a job.
+pub struct User {
+    /// The job.
+    pub spec: Submission,
+    /// When to submit it.
+    pub at: u64,
+    /// When to cancel it.
+    pub withdraw_at: Option<u64>,
+    accepted: bool,
+    over: bool,
+    /// When the user was told that it is over.
+    pub over_at: Option<u64>,
+    waiting: Option<u64>,
+    /// Submits again after the end, which must show the end.
+    again: bool,
+}
+
+/// A trouble, at a time.
+#[derive(Debug, Clone)]
+pub enum Trouble {
+    /// Nodes end and come back after a time.
+    Kill(Vec<usize>, u64),
+    /// The state service is out of order for a time.
+    StateDown(u64),
+    /// The state service refuses one node for a time.
+    StateRefuses(usize, u64),
+    /// A node is cut off for a time from the state service, the workers and cloud, or all; with
+    /// `held`, what it sent arrives when the cut ends.
+    Cut(usize, Side, u64, bool),
+    /// The next so many transactions of any node are carried out this much later, their answers lost.
+    LateTxn(u32, u64),
+    /// Direct commands to a machine arrive this much later, for a time.
+    LateOrders(String, u64, u64),
+    /// A machine hangs for a time.
+    Hang(String, u64),
+    /// A machine fails every task for a time.
+    Sick(String, u64),
+    /// A machine is gone.
+    Lost(String),
+    /// A machine is taken after a notice.
+    Taken(String, u64),
+    /// The cloud is out of order for a time.
+    CloudDown(u64),
+    /// Hires are carried out this much later and their answers lost, for a time.
+    LateHires(u64, u64),
+    /// The next hired machines never come up.
+    Duds(u32),
+    /// A job's tasks fail everywhere.
+    Broken(String),
+    /// A replica's or task's machine is gone: the machine that runs this task.
+    LostUnder(String),
+}
+
+/// What a cut separates a node from.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Side {
+    /// The state service.
+    State,
+    /// Workers and the cloud.
+    Workers,
+    /// All, other nodes and users too.
+    All,
+}
+
+/// The world.
+pub struct World {
+    /// Time since the beginning, in ms.
+    pub now: u64,
+    settings: Vec<Settings>,
+    tuning: Tuning,
+    nodes: Vec<Option<Node>>,
+    lives: Vec<u32>,
+    booted: Vec<u64>,
+    /// The state service.
+    pub state: StateService,
+    /// The cloud.
+    pub cloud: Cloud,
+    /// Machines that are up.
+    pub workers: BTreeMap<String, Worker>,
+    /// The rules.
+    pub check: Checker,
+    /// Users, by job.
+    pub users: BTreeMap<String, User>,
+    troubles: Vec<Trouble>,
+    queue: BinaryHeap<Reverse<Item>>,
+    seq: u64,
+    rng: StdRng,
+    open: BTreeSet<(Life, u64)>,
+    asks: BTreeMap<u64, Asked>,
+    next_ask: u64,
+    state_back: u64,
+    cloud_back: u64,
+    refused: Vec<u64>,
+    cuts: Vec<(usize, Side, u64, bool)>,
+    late_txns: (u32, u64),
+    late_orders: BTreeMap<String, (u64, u64)>,
+    late_hires: (u64, u64),
+    broken: BTreeSet<String>,
+    warned: BTreeMap<String, u64>,
+    /// Log lines, if wanted.
+    pub log: Option<Vec<String>>,
+}
+
+enum Asked {
+    User(String),
+    Worker(String, (u64, u64, u64)),
+}
+
+impl World {
+    /// A world with these nodes; machines, users and troubles are added before it runs.
+    pub fn new(settings: Vec<Settings>, seed: u64) -> World {
+        let n = settings.len();
+        let mut w = World {
+            now: 0,
+            settings,
+            tuning: Tuning::default(),
+            nodes: (0..n).map(|_| None).collect(),
+            lives: vec![0; n],
+            booted: vec![0; n],
+            state: StateService::default(),
+            cloud: Cloud::default(),
+            workers: BTreeMap::new(),
+            check: Checker::default(),
+            users: BTreeMap::new(),
+            troubles: Vec::new(),
+            queue: BinaryHeap::new(),
+            seq: 0,
+            rng: StdRng::seed_from_u64(seed),
+            open: BTreeSet::new(),
+            asks: BTreeMap::new(),
+            next_ask: 0,
+            state_back: 0,
+            cloud_back: 0,
+            refused: vec![0; n],
+            cuts: Vec::new(),
+            late_txns: (0, 0),
+            late_orders: BTreeMap::new(),
+            late_hires: (0, 0),
+            broken: BTreeSet::new(),
+            warned: BTreeMap::new(),
+            log: None,
+        };
+        w.check.limits = w.settings[0].teams.iter().map(|(n, t)| (n.clone(), t.limit.0 as f64 / 1000.0)).collect();
+        w.check.cancel_ms = (w.settings[0].cancel_s * 1000.0) as u64;
+        for i in 0..n {
+            w.at(1 + i as u64 * 7, What::Restart(i));
+        }
+        w.at(TICK, What::Tick);
+        w
+    }
+
+    fn at(&mut self, when: u64, what: What) {
+        self.seq += 1;
+        self.queue.push(Reverse(Item(when.max(self.now), self.seq, what)));
+    }
+
+    /// Adds a user.
+    pub fn user(&mut self, spec: Submission, at: u64, withdraw_at: Option<u64>) {
+        let id = spec.id.clone();
+        let u =
+            User { spec, at, withdraw_at, accepted: false, over: false, over_at: None, waiting: None, again: false };
+        self.users.insert(id.clone(), u);
+        self.at(at, What::User(id.clone()));
+        if let Some(t) = withdraw_at {
+            self.at(t, What::User(id));
+        }
+    }
+
+    /// Adds a trouble.
+    pub fn trouble(&mut self, at: u64, trouble: Trouble) {
+        self.troubles.push(trouble);
+        self.at(at, What::Script(self.troubles.len() - 1));
+    }
+
+    fn delay(&mut self) -> u64 {
+        1 + u64::from(self.rng.random_bool(0.02)) * 150 + self.rng.random_range(0..4)
+    }
+
+    fn cut(&self, node: usize, side: Side) -> Option<(u64, bool)> {
+        self.cuts
+            .iter()
+            .filter(|(n, s, until, _)| *n == node && (*s == side || *s == Side::All) && self.now < *until)
+            .map(|(_, _, until, held)| (*until, *held))
+            .max()
+    }
+
+    /// Plays until a time.
+    pub fn run(&mut self, until: u64) {
+        while let Some(Reverse(Item(t, _, _))) = self.queue.peek() {
+            if *t > until {
+                break;
+            }
+            let Some(Reverse(Item(t, _, what))) = self.queue.pop() else { break };
+            self.now = t;
+            self.happen(what);
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, what: What) {
+        match what {
+            What::Tick => self.tick(),
+            What::Restart(i) => {
+                self.lives[i] += 1;
+                self.booted[i] = self.now;
+                let node = Node::new(self.settings[i].clone(), self.tuning.clone(), self.clock(i));
+                self.nodes[i] = Some(node);
+                self.step(i, Command::Tick);
+            }
+            What::ToState(who, id, request) => {
+                if self.now < self.refused[who.0] {
+                    self.reply(who, Command::State(id, Err(IoError::Refused)), Side::State);
+                    return;
+                }
+                if let Some(result) = self.state.handle(self.now, who, id, request) {
+                    self.reply(who, Command::State(id, result), Side::State);
+                }
+                self.state_turn();
+            }
+            What::ToCloud(who, id, request) => {
+                let (result, gone) = self.cloud.handle(self.now, request);
+                for name in gone {
+                    self.end_machine(&name);
+                }
+                self.reply(who, Command::Cloud(id, result), Side::Workers);
+            }
+            What::ToWorker(who, id, to, orders) => {
+                let now = self.now;
+                let Some(w) = self.workers.get_mut(&to) else { return };
+                if now < w.hangs_until {
+                    let later = w.hangs_until;
+                    self.at(later, What::ToWorker(who, id, to, orders));
+                    return;
+                }
+                let (fine, report) = w.orders(now, orders, &self.check.jobs);
+                let reply = if fine { OrdersReply::Executed(report) } else { OrdersReply::Outdated(report) };
+                self.reply(who, Command::Orders(id, Ok(reply)), Side::Workers);
+            }
+            What::ToNode(who, command) => {
+                let id = match &command {
+                    Command::State(id, _) | Command::Cloud(id, _) | Command::Orders(id, _) => Some(*id),
+                    _ => None,
+                };
+                if id.is_some_and(|id| !self.open.remove(&(who, id))) {
+                    return;
+                }
+                if self.lives[who.0] == who.1 {
+                    self.step(who.0, command);
+                }
+            }
+            What::TimedOut(who, id, kind) => {
+                if self.open.remove(&(who, id)) && self.lives[who.0] == who.1 {
+                    let command = match kind {
+                        Kind::State => Command::State(id, Err(IoError::Unknown)),
+                        Kind::Cloud => Command::Cloud(id, Err(IoError::Unknown)),
+                        Kind::Orders => Command::Orders(id, Err(IoError::Unknown)),
+                    };
+                    self.step(who.0, command);
+                }
+            }
+            What::Checkin(node, report, sent) => {
+                self.next_ask += 1;
+                let id = (1 << 62) + self.next_ask;
+                self.asks.insert(id, Asked::Worker(report.loom.clone(), sent));
+                self.step(node, Command::Checkin(id, Box::new(report)));
+            }
+            What::User(job) => self.user_acts(&job),
+            What::Script(i) => self.begin(self.troubles[i].clone()),
+        }
+    }
+
+    fn reply(&mut self, who: Life, command: Command, side: Side) {
+        let d = self.delay();
+        match self.cut(who.0, side) {
+            // Held back with the cut; the other side may have given up by then.
+            Some((until, true)) => self.at(until + d, What::ToNode(who, command)),
+            Some((_, false)) => {}
+            None => self.at(self.now + d, What::ToNode(who, command)),
+        }
+    }
+
+    fn state_turn(&mut self) {
+        for (who, id, reply) in self.state.turn(self.now) {
+            if self.now < self.refused[who.0] {
+                continue;
+            }
+            self.reply(who, Command::State(id, Ok(reply)), Side::State);
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.now;
+        if self.state.down && now >= self.state_back {
+            self.state.down = false;
+        }
+        if self.cloud.down && now >= self.cloud_back {
+            self.cloud.down = false;
+        }
+        self.cuts.retain(|c| now < c.2);
+        self.state_turn();
+        self.cloud.turn(now);
+        let up: Vec<crate::cloud::Rented> = self
+            .cloud
+            .machines
+            .values()
+            .filter(|m| m.up_at.is_some_and(|t| t <= now) && !self.workers.contains_key(&m.id))
+            .cloned()
+            .collect();
+        for m in up {
+            let Some(f) = self.cloud.catalog.frame(&m.frame) else { continue };
+            let lease = (self.settings[0].lease_s * 1000.0) as u64;
+            let mut w =
+                Worker::new(&m.id, &m.frame, &m.hall, m.borrowed, f.room(), f.fetch_gb_per_s.max(0.01), lease, now);
+            w.node = self.rng.random_range(0..self.nodes.len());
+            self.workers.insert(m.id.clone(), w);
+        }
+        let taken: Vec<String> = self.warned.iter().filter(|(_, t)| **t <= now).map(|(n, _)| n.clone()).collect();
+        for name in taken {
+            self.warned.remove(&name);
+            self.end_machine(&name);
+            self.cloud.take(&name);
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.worker_turn(&name);
+        }
+        self.check.turn(now);
+        for i in 0..self.nodes.len() {
+            self.step(i, Command::Tick);
+        }
+        self.at(now + TICK, What::Tick);
+    }
+
+    fn worker_turn(&mut self, name: &str) {
+        let now = self.now;
+        let interval = (self.settings[0].report_s * 1000.0 * self.rng.random_range(0.75..1.25)) as u64;
+        let nodes = self.nodes.len();
+        let Some(w) = self.workers.get_mut(name) else { return };
+        if now >= w.hangs_until {
+            w.turn(now, &self.check.jobs, &self.check.completed, &self.broken);
+        }
+        let events = std::mem::take(&mut w.events);
+        let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
+        if let Some(t) = self.warned.get(name) {
+            w.warn_s = Some(t.saturating_sub(now) as f64 / 1000.0);
+        }
+        let mut send = None;
+        if now >= w.hangs_until {
+            if w.waiting.is_some_and(|(t, ..)| now > t + 4000) {
+                w.waiting = None;
+                w.node = (w.node + 1) % nodes;
+                w.report_at = now + 1000;
+            }
+            if let Some(r) = w.begin_report(now, interval) {
+                send = Some((w.node, w.waiting, r));
+            }
+        }
+        for e in events {
+            self.check.machine(now, name, &place, &e);
+        }
+        if let Some((node, Some(sent), report)) = send {
+            let d = self.delay();
+            match self.cut(node, Side::Workers) {
+                Some((until, true)) => self.at(until + d, What::Checkin(node, report, sent)),
+                Some((_, false)) => {}
+                None if self.nodes[node].is_some() => self.at(now + d, What::Checkin(node, report, sent)),
+                None => self.worker_moves(name, None, 1000),
+            }
+        }
+    }
+
+    fn worker_moves(&mut self, name: &str, to: Option<usize>, after: u64) {
+        let nodes = self.nodes.len();
+        if let Some(w) = self.workers.get_mut(name) {
+            w.waiting = None;
+            w.node = to.unwrap_or((w.node + 1) % nodes);
+            w.report_at = self.now + after;
+        }
+    }
+
+    fn end_machine(&mut self, name: &str) {
+        if let Some(mut w) = self.workers.remove(name) {
+            let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
+            for e in w.die() {
+                self.check.machine(self.now, name, &place, &e);
+            }
+        }
+    }
+
+    fn clock(&self, i: usize) -> Now {
+        Now { mono: self.now - self.booted[i] + 1, wall: DAY + self.now }
+    }
+
+    fn step(&mut self, i: usize, command: Command) {
+        let clock = self.clock(i);
+        let Some(node) = self.nodes[i].as_mut() else { return };
+        let effects = node.step(clock, vec![command]);
+        let who = (i, self.lives[i]);
+        for e in effects {
+            self.effect(who, e);
+        }
+    }
+
+    fn effect(&mut self, who: Life, effect: Effect) {
+        let now = self.now;
+        let patience = (self.settings[0].report_s * 400.0) as u64;
+        let d = self.delay();
+        match effect {
+            Effect::State(id, request, via) => {
+                self.open.insert((who, id));
+                let hold = if let StateRequest::Watch { hold_ms, .. } = &request { *hold_ms } else { 0 };
+                self.at(now + patience + hold, What::TimedOut(who, id, Kind::State));
+                // Through a peer: as that peer is served.
+                let path = match &via {
+                    Some(peer) => self.settings.iter().position(|s| s.label == *peer).unwrap_or(who.0),
+                    None => who.0,
+                };
+                if let StateRequest::Txn(_) = &request
+                    && self.late_txns.0 > 0
+                {
+                    self.late_txns.0 -= 1;
+                    self.open.remove(&(who, id));
+                    self.open.insert((who, id));
+                    let late = self.late_txns.1;
+                    // Its answer comes to nobody: another life's number.
+                    self.at(now + late, What::ToState((who.0, 0), id, request));
+                    return;
+                }
+                if path != who.0 {
+                    let served = self.now >= self.refused[path] && self.cut(path, Side::State).is_none();
+                    let linked = self.cut(who.0, Side::All).is_none_or(|_| self.cut(who.0, Side::State).is_none());
+                    if served && linked && self.nodes[path].is_some() {
+                        let result = self.state.handle(now, who, id, request);
+                        if let Some(result) = result {
+                            self.at(now + d * 2, What::ToNode(who, Command::State(id, result)));
+                        }
+                    }
+                    return;
+                }
+                match self.cut(who.0, Side::State) {
+                    Some((until, true)) => self.at(until + d, What::ToState(who, id, request)),
+                    Some((_, false)) => {}
+                    None => self.at(now + d, What::ToState(who, id, request)),
+                }
+            }
+            Effect::Cloud(id, request) => {
+                self.open.insert((who, id));
+                self.at(now + patience * 3, What::TimedOut(who, id, Kind::Cloud));
+                let late = matches!(request, CloudRequest::Hire(_)) && now < self.late_hires.0;
+                if late {
+                    self.at(now + self.late_hires.1, What::ToCloud((who.0, 0), id, request));
+                } else if self.cut(who.0, Side::Workers).is_none() {
+                    self.at(now + d, What::ToCloud(who, id, request));
+                }
+            }
+            Effect::Orders(id, to, orders) => {
+                self.open.insert((who, id));
+                self.at(now + patience, What::TimedOut(who, id, Kind::Orders));
+                let late = self.late_orders.get(&to).filter(|(until, _)| now < *until).map(|(_, by)| *by);
+                match self.cut(who.0, Side::Workers) {
+                    Some((until, true)) => self.at(until + d, What::ToWorker(who, id, to, orders)),
+                    Some((_, false)) => {}
+                    None => self.at(now + d + late.unwrap_or(0), What::ToWorker(who, id, to, orders)),
+                }
+            }
+            Effect::Answer(id, answer) => self.answered(who.0, id, answer),
+            Effect::Peer(label, frame) => {
+                let Some(to) = self.settings.iter().position(|s| s.label == label) else { return };
+                let all = |n: usize| self.cuts.iter().any(|c| c.0 == n && c.1 == Side::All && now < c.2);
+                if !all(who.0) && !all(to) {
+                    let from = self.settings[who.0].label.clone();
+                    // As on the wire.
+                    let mut buf = bytes::BytesMut::new();
+                    frame.encode(&mut buf);
+                    if let Ok(Some(frame)) = Frame::decode(&mut buf) {
+                        let to = (to, self.lives[to]);
+                        self.at(now + d, What::ToNode(to, Command::Peer(from, frame)));
+                    }
+                }
+            }
+            Effect::Log(_, text) => {
+                if let Some(log) = &mut self.log {
+                    log.push(format!("{:.3} n{}: {text}", now as f64 / 1000.0, who.0));
+                }
+            }
+        }
+    }
+
+    fn answered(&mut self, node: usize, id: u64, answer: Answer) {
+        match self.asks.remove(&id) {
+            Some(Asked::Worker(name, sent)) => {
+                if self.cut(node, Side::Workers).is_some() {
+                    return;
+                }
+                let now = self.now;
+                match answer {
+                    Answer::Report(reply) => {
+                        if let Some(w) = self.workers.get_mut(&name)
+                            && now >= w.hangs_until
+                        {
+                            w.answer(now, sent, reply, &self.check.jobs);
+                        }
+                    }
+                    Answer::Elsewhere(Some(to)) => {
+                        let to = self.settings.iter().position(|s| s.label == to);
+                        self.worker_moves(&name, to, if to.is_some() { 100 } else { 1000 });
+                    }
+                    _ => self.worker_moves(&name, None, 1000),
+                }
+            }
+            Some(Asked::User(job)) => {
+                if self.cut(node, Side::All).is_some() {
+                    return;
+                }
+                let (status, state, pause) = match &answer {
+                    Answer::Job(status, view) => (*status, Some(view.status), 5000),
+                    Answer::Problem { status, retry_after, .. } => {
+                        (*status, None, u64::from(retry_after.unwrap_or(1)).max(1) * 1000)
+                    }
+                    _ => (500, None, 1000),
+                };
+                self.check.told(self.now, &job, status, state);
+                let now = self.now;
+                if let Some(u) = self.users.get_mut(&job) {
+                    u.waiting = None;
+                    u.accepted |= state.is_some();
+                    let over = matches!(state, Some(JobStatus::Done | JobStatus::Aborted));
+                    if over && !u.over {
+                        u.over = true;
+                        u.over_at = Some(now);
+                    }
+                    let given_up = matches!(status, 400 | 422);
+                    if !given_up {
+                        self.at(now + pause, What::User(job));
+                    }
+                }
+            }
+            None => {}
+        }
+    }
+
+    fn user_acts(&mut self, job: &str) {
+        let now = self.now;
+        let up: Vec<usize> =
+            (0..self.nodes.len()).filter(|&i| self.nodes[i].is_some() && self.cut(i, Side::All).is_none()).collect();
+        let pick = if up.is_empty() { None } else { Some(up[self.rng.random_range(0..up.len())]) };
+        let Some(u) = self.users.get_mut(job) else { return };
+        if u.waiting.is_some_and(|t| now < t + 5000) {
+            return;
+        }
+        let Some(node) = pick else {
+            self.at(now + 1000, What::User(job.into()));
+            return;
+        };
+        self.next_ask += 1;
+        let id = (1 << 62) + self.next_ask;
+        u.waiting = Some(now);
+        let withdraws = u.accepted && !u.over && u.withdraw_at.is_some_and(|t| now >= t);
+        let command = if !u.accepted || u.over && !u.again {
+            u.again |= u.over;
+            self.check.jobs.insert(job.into(), u.spec.clone());
+            Command::Submit(id, Box::new(u.spec.clone()))
+        } else if withdraws {
+            self.check.asks_cancel(job);
+            Command::Withdraw(id, job.into())
+        } else {
+            Command::Status(id, job.into())
+        };
+        self.asks.insert(id, Asked::User(job.into()));
+        self.at(now + 5001, What::User(job.into()));
+        self.step(node, command);
+    }
+
+    /// The node meant: a number, or the one that leads now.
+    fn meant(&self, node: usize) -> usize {
+        let leads = |n: &Option<Node>| n.as_ref().is_some_and(|n| n.leads());
+        if node == LEADER { self.nodes.iter().position(leads).unwrap_or(0) } else { node }
+    }
+
+    fn begin(&mut self, t: Trouble) {
+        let now = self.now;
+        match t {
+            Trouble::Kill(nodes, back) => {
+                for i in nodes {
+                    let i = self.meant(i);
+                    self.nodes[i] = None;
+                    self.lives[i] += 1;
+                    self.at(now + back, What::Restart(i));
+                }
+            }
+            Trouble::StateDown(ms) => {
+                self.state.down = true;
+                self.state_back = now + ms;
+            }
+            Trouble::StateRefuses(node, ms) => {
+                let node = self.meant(node);
+                self.refused[node] = now + ms;
+            }
+            Trouble::Cut(node, side, ms, held) => self.cuts.push((self.meant(node), side, now + ms, held)),
+            Trouble::LateTxn(n, ms) => self.late_txns = (n, ms),
+            Trouble::LateOrders(m, ms, by) => {
+                self.late_orders.insert(m, (now + ms, by));
+            }
+            Trouble::Hang(m, ms) => {
+                if let Some(w) = self.workers.get_mut(&m) {
+                    w.hangs_until = now + ms;
+                }
+            }
+            Trouble::Sick(m, ms) => {
+                if let Some(w) = self.workers.get_mut(&m) {
+                    w.sick_until = now + ms;
+                }
+            }
+            Trouble::Lost(m) => {
+                self.end_machine(&m);
+                self.cloud.take(&m);
+            }
+            Trouble::LostUnder(piece) => {
+                let holds = |w: &&Worker| {
+                    w.tasks
+                        .get(&piece)
+                        .is_some_and(|l| l.iter().any(|t| t.status == shaleshunt_wire::worker::PieceStatus::Running))
+                };
+                let name = self.workers.values().find(holds).map(|w| w.id.clone());
+                if let Some(name) = name {
+                    self.begin(Trouble::Lost(name));
+                }
+            }
+            Trouble::Taken(m, notice) => {
+                self.warned.insert(m, now + notice);
+            }
+            Trouble::CloudDown(ms) => {
+                self.cloud.down = true;
+                self.cloud_back = now + ms;
+            }
+            Trouble::LateHires(ms, by) => self.late_hires = (now + ms, by),
+            Trouble::Duds(n) => self.cloud.duds = n,
+            Trouble::Broken(job) => {
+                self.broken.insert(job);
+            }
+        }
+    }
+
+    /// Whether some node leads.
+    pub fn leaders(&self) -> usize {
+        self.nodes.iter().flatten().filter(|n| n.leads()).count()
+    }
+
+    /// How many keys with a prefix the state service holds.
+    pub fn stored(&self, prefix: &str) -> usize {
+        self.state.dump(prefix).len()
+    }
+}
