--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -216,7 +216,7 @@
         };
         let does_well =
             j.done_count > 0 || j.is_service() && j.live.values().flatten().any(|(l, a)| l != loom && steady(l, *a));
-        let broken = j.failed_on.len() >= 3 && !does_well;
+        let broken = (j.failed_on.len() >= 3 || j.failures >= 6) && !does_well;
         if broken {
             let wait = ctx.tune.sick_s * 1000.0 / 8.0 * f64::from(1u32 << (j.failures.min(8) - 3).min(4));
             j.not_before = now + wait as u64;
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -101,6 +101,10 @@
                 if !self.team_allows(ctx, job) {
                     break;
                 }
+                // A job that has only failed is tried with one task at a time.
+                if job.failures >= 3 && job.done_count == 0 && !job.live.is_empty() && !job.is_service() {
+                    break;
+                }
                 let s = &job.spec;
                 let kind = (job.need, s.borrowed, s.hall.clone(), s.frames.clone());
                 let free_choice = !s.one_zone && !s.scatter;
@@ -194,6 +198,7 @@
         self.looms
             .values()
             .filter(|m| m.free().fits(&job.need) && m.usable(now, &ctx.set) && m.places.len() < cap)
+            .filter(|m| job.failed_on.len() >= 3 || !job.failed_on.contains(&m.id))
             .filter(|m| Self::allows(job, &m.frame, &m.hall, m.borrowed) && Self::zone_fits(job, &m.hall))
             .filter(|m| (m.sick_times == 0 || m.places.is_empty()) && zone.is_none_or(|z| z == m.hall))
             .min_by_key(|m| {
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -108,7 +108,7 @@
     /// Interval between rounds of renting.
     round_s = "rent.round-s": 1.0, 0.1, 60.0;
     /// A rented machine without work goes back after this time.
-    idle_s = "rent.idle-s": 180.0, 1.0, 86400.0;
+    idle_s = "rent.idle-s": 45.0, 1.0, 86400.0;
     /// Most machines asked for in one round.
     hires_per_round = "rent.machines-per-round": 12.0, 1.0, 50.0;
     /// Term of a block of owned machines.
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -42,6 +42,11 @@
 }
 
 impl Checker {
+    /// A checker for a site where cancelled jobs must be gone within this time.
+    pub fn new(cancel_ms: u64) -> Checker {
+        Checker { cancel_ms, ..Checker::default() }
+    }
+
     fn break_rule(&mut self, now: u64, rule: &str, what: &str) {
         self.broken.push(format!("{rule} at {:.1} s: {what}", now as f64 / 1000.0));
     }
--- /dev/null
+++ b/crates/testkit/tests/checker.rs
@@ -0,0 +1,68 @@
+//! The rules' checker shows what it is there for: each rule, broken on purpose, is found.
+
+use shaleshunt_testkit::check::{Checker, Place};
+use shaleshunt_testkit::worker::Event;
+use shaleshunt_wire::user::{JobStatus, Submission};
+
+fn spec(id: &str, scatter: bool) -> Submission {
+    let text = format!(
+        r#"{{"ref":"{id}","jobline":"x","crew":"t","shape":"array","urgency":"high","pieces":2,"cores":2.0,
+        "cards":0.0,"ramGb":1.0,"bundle":"i","imageGb":1.0,"oneZone":false,"scatter":{scatter},"borrowed":false,
+        "expectS":1.0,"markEveryS":0.0,"markTakesS":0.0}}"#
+    );
+    Submission::parse(text.as_bytes()).unwrap()
+}
+
+fn checker() -> (Checker, Place) {
+    let mut c = Checker::new(50_000);
+    c.jobs.insert("wk-1".into(), spec("wk-1", true));
+    c.limits.insert("t".into(), 4.0);
+    (c, Place { frame: "f".into(), hall: "a".into(), borrowed: false })
+}
+
+fn found(c: &Checker, rule: &str) -> bool {
+    c.broken.iter().any(|b| b.starts_with(rule))
+}
+
+#[test]
+fn every_rule_is_found_when_broken() {
+    let on = |p: &str, a| Event::On(p.into(), a);
+    let (mut c, place) = checker();
+    c.machine(1, "vm-1", &place, &on("wk-1/0", 1));
+    assert!(c.broken.is_empty());
+    c.machine(2, "vm-2", &place, &on("wk-1/0", 2));
+    assert!(found(&c, "ran_twice"));
+
+    let (mut c, place) = checker();
+    c.machine(1, "vm-1", &place, &on("wk-1/0", 1));
+    c.machine(1, "vm-1", &place, &on("wk-1/1", 1));
+    assert!(found(&c, "wrong_place"), "two of two in one zone");
+
+    let (mut c, place) = checker();
+    c.machine(1, "vm-1", &Place { borrowed: true, ..place.clone() }, &on("wk-1/0", 1));
+    assert!(found(&c, "wrong_place"), "spot");
+
+    let (mut c, place) = checker();
+    c.limits.insert("t".into(), 3.0);
+    c.machine(1, "vm-1", &place, &on("wk-1/0", 1));
+    c.machine(1, "vm-1", &Place { hall: "b".into(), ..place.clone() }, &on("wk-1/1", 1));
+    assert!(found(&c, "quota"));
+
+    let (mut c, _) = checker();
+    c.told(1, "wk-1", 201, Some(JobStatus::Queued));
+    c.told(2, "wk-1", 404, None);
+    assert!(found(&c, "forgotten"));
+    c.told(3, "wk-1", 200, Some(JobStatus::Done));
+    assert!(found(&c, "not_done"));
+    c.told(4, "wk-1", 200, Some(JobStatus::Running));
+    assert!(found(&c, "went_back"));
+    c.told(4, "wk-9", 200, Some(JobStatus::Running));
+    assert!(found(&c, "invented"));
+
+    let (mut c, _) = checker();
+    c.asks_cancel("wk-1");
+    c.told(1, "wk-1", 200, Some(JobStatus::Aborted));
+    assert!(c.broken.is_empty());
+    c.machine(50_002, "vm-1", &place, &on("wk-1/0", 1));
+    assert!(found(&c, "ran_cancelled"));
+}
