Keep room for what arrived within two boot times; rent early for classes with aims

Cause: jobs waited a boot time for machines asked for only after they had waited themselves. Ruled out: refusals by the cloud (hires were filled) and processor time (peaks below 0.1 of a core).

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -15,6 +15,9 @@
 /// Bits of an attempt below the epoch: the leader's counter.
 const ATTEMPT_BITS: u32 = 28;
 
+/// Most arrivals remembered.
+const ARRIVALS: usize = 500;
+
 /// Steps of the leader that wait for an answer.
 #[derive(Debug)]
 pub(crate) enum LeadWait {
@@ -96,6 +99,8 @@
     pub(crate) prices_at: u64,
     pub(crate) refused: BTreeMap<crate::rent::Place, (u64, u32)>,
     pub(crate) learned: BTreeMap<String, Learned>,
+    /// Jobs that arrived lately, as they arrived.
+    pub(crate) arrivals: Vec<(u64, Job)>,
     pub(crate) retry_commit_at: u64,
 }
 
@@ -143,6 +148,7 @@
             prices_at: now,
             refused: BTreeMap::new(),
             learned: BTreeMap::new(),
+            arrivals: Vec::new(),
             retry_commit_at: now,
         };
         l.writes = ctx.set.state_write_rps * ctx.tune.write_share;
@@ -308,6 +314,9 @@
                 }
             }
             None => {
+                if self.active && !rec.x && self.arrivals.len() < ARRIVALS {
+                    self.arrivals.push((ctx.now.mono, Job::new(rec.clone(), stamp)));
+                }
                 let job = Job::new(rec, stamp);
                 let (id, aborted) = (job.id.clone(), job.aborted);
                 self.jobs.insert(id.clone(), job);
@@ -464,6 +473,7 @@
             failures: Vec::new(),
             sick_until: 0,
             sick_times: 0,
+            needed_at: 0,
             idle_since: ctx.now.mono,
             slowness: 1.0,
         }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -352,6 +352,8 @@
     pub sick_until: u64,
     /// Times that it was found sick since a success.
     pub sick_times: u32,
+    /// Its room was last counted on for work waiting or expected.
+    pub needed_at: u64,
     /// Without placements since.
     pub idle_since: u64,
     /// Running tasks go this many times slower than they should (smoothed).
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -232,13 +232,14 @@
         if job.due().is_some() {
             return false;
         }
+        // A machine must be up well within what the class's aim leaves.
         let aim = ctx.set.aims.get(&job.spec.jobline).copied().unwrap_or_default();
         let mut wait = ctx.tune.plain_wait_s;
         if let Some(s) = aim.start_s {
-            wait = wait.min(s - boot_s * 2.0);
+            wait = wait.min(s * ctx.tune.aim_share - boot_s);
         }
         if let Some(s) = aim.finish_s {
-            wait = wait.min(s - boot_s * 2.0 - self.estimate(job));
+            wait = wait.min((s - self.estimate(job)) * ctx.tune.aim_share - boot_s);
         }
         ctx.now.wall.saturating_sub(job.at) as f64 / 1000.0 >= wait
     }
@@ -255,29 +256,36 @@
             hall: String,
             borrowed: bool,
             free: Room,
+            loom: Option<Id>,
         }
+        let mut needed: Vec<Id> = Vec::new();
         let mut spaces: Vec<Space> = Vec::new();
         for m in self.looms.values() {
             let coming = m.heard.is_none() && !m.leaving;
             if m.usable(now, &ctx.set) || coming {
                 let (frame, hall) = (m.frame.clone(), m.hall.clone());
-                spaces.push(Space { frame, hall, borrowed: m.borrowed, free: m.free() });
+                spaces.push(Space { frame, hall, borrowed: m.borrowed, free: m.free(), loom: Some(m.id.clone()) });
             }
         }
         for h in self.hires.values().filter(|h| h.answer.is_none()) {
             let Some(f) = catalog.frame(&h.hire.frame) else { continue };
             for _ in 0..h.hire.count {
                 let (frame, hall) = (h.hire.frame.clone(), h.hire.hall.clone());
-                spaces.push(Space { frame, hall, borrowed: h.hire.borrowed, free: f.room() });
+                spaces.push(Space { frame, hall, borrowed: h.hire.borrowed, free: f.room(), loom: None });
             }
         }
+        // The fullest first, so that a machine that is not needed stays empty and goes back.
+        spaces.sort_by_key(|s| s.free.cores);
         let mut wanted: Vec<(Hire, Room)> = Vec::new();
         let mut team_used = self.teams.clone();
         let mut budget = ctx.tune.hires_per_round as u32;
-        for job in self.jobs.values() {
-            if job.aborted || job.not_before > now || !self.rents(ctx, job, boot_s) {
-                continue;
-            }
+        // What arrived within a while is expected to arrive again: room for it is kept, so that work
+        // does not wait for machines to boot. Real demand goes first.
+        let window = boot_s * ctx.tune.reserve_boots * 1000.0;
+        self.arrivals.retain(|(at, _)| now.saturating_sub(*at) as f64 <= window);
+        let real = self.jobs.values().filter(|j| !j.aborted && j.not_before <= now && self.rents(ctx, j, boot_s));
+        let ghosts = self.arrivals.iter().map(|(_, j)| j);
+        for job in real.chain(ghosts) {
             let Some(team) = ctx.set.teams.get(&job.spec.crew) else { continue };
             for _ in 0..job.waiting() {
                 let used = team_used.entry(job.spec.crew.clone()).or_default();
@@ -294,6 +302,7 @@
                 if let Some(s) = space {
                     s.free.add(&job.need, -1);
                     *used = more;
+                    needed.extend(s.loom.take());
                     continue;
                 }
                 if budget == 0 {
@@ -303,7 +312,7 @@
                 let room = catalog.frame(&frame).map(|f| f.room()).unwrap_or_default();
                 let mut free = room;
                 free.add(&job.need, -1);
-                spaces.push(Space { frame: frame.clone(), hall: hall.clone(), borrowed, free });
+                spaces.push(Space { frame: frame.clone(), hall: hall.clone(), borrowed, free, loom: None });
                 *used = more;
                 budget -= 1;
                 let same = |h: &Hire| h.frame == frame && h.hall == hall && h.borrowed == borrowed;
@@ -313,6 +322,11 @@
                 }
             }
         }
+        for id in needed {
+            if let Some(m) = self.looms.get_mut(&id) {
+                m.needed_at = now;
+            }
+        }
         for (mut hire, _) in wanted {
             self.hire_count += 1;
             hire.hire = format!("{}-{}-{}", ctx.set.label, self.epoch, self.hire_count);
@@ -377,7 +391,8 @@
                 Some(h) if !m.owned => {
                     m.leaving |= now.saturating_sub(h) > silence;
                     m.leaving |= m.places.is_empty()
-                        && (m.warned.is_some() || now.saturating_sub(m.idle_since) as f64 > ctx.tune.idle_s * 1000.0);
+                        && (m.warned.is_some()
+                            || now.saturating_sub(m.idle_since.max(m.needed_at)) as f64 > ctx.tune.idle_s * 1000.0);
                 }
                 Some(_) => {}
             }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -105,6 +105,10 @@
     boot_allowance_s = "slack.boot-allowance-s": 60.0, 0.0, 3600.0;
     /// Jobs without a deadline rent after this wait.
     plain_wait_s = "rent.plain-wait-s": 60.0, 0.0, 86400.0;
+    /// Share of a class's aim, less a boot, that its jobs wait before they rent.
+    aim_share = "rent.aim-share": 0.25, 0.0, 1.0;
+    /// Room is kept for as much as arrived within so many boot times.
+    reserve_boots = "rent.reserve-boots": 2.0, 0.0, 20.0;
     /// Interval between rounds of renting.
     round_s = "rent.round-s": 1.0, 0.1, 60.0;
     /// A rented machine without work goes back after this time.
