--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -78,6 +78,8 @@
     class: Option<String>,
     #[serde(default)]
     within_s: Option<f64>,
+    #[serde(default)]
+    times: Option<f64>,
 }
 
 #[derive(Deserialize)]
@@ -210,14 +212,10 @@
     for o in &p.objectives {
         let Some(class) = &o.class else { continue };
         let aim = aims.entry(class.clone()).or_default();
-        let least = |old: Option<f64>| match (old, o.within_s) {
-            (Some(a), Some(b)) => Some(a.min(b)),
-            (a, b) => a.or(b),
-        };
         match o.kind.as_str() {
-            "wait" => aim.start_s = least(aim.start_s),
-            "finished" => aim.finish_s = least(aim.finish_s),
-            "deadline" => aim.deadline = true,
+            "wait" => aim.start_s.extend(o.within_s),
+            "finished" => aim.finish_s.extend(o.within_s),
+            "deadline" => aim.times.push(o.times.unwrap_or(1.0)),
             _ => {}
         }
     }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -16,6 +16,9 @@
 /// Most tasks stopped for others in one pass.
 const PREEMPTIONS: u32 = 8;
 
+/// A job's place in the queue, smallest first.
+type Rank = (Reverse<Urgency>, u8, bool, u64, u64);
+
 /// What decides, zone rules aside, which machines a task may use.
 type Kind = (Room, bool, Option<String>, Option<Vec<String>>);
 
@@ -66,27 +69,116 @@
     }
 
     /// Jobs with tasks to place, in order: by urgency, in it the stages' deadline queues shortest
-    /// first, then the others by age.
-    fn queue(&self, now: u64) -> Vec<Id> {
-        let mut list: Vec<(Reverse<Urgency>, bool, u64, u64, &Id)> = self
+    /// first, then the others by age. What can no longer meet its aim goes behind what can.
+    fn queue(&self, ctx: &Ctx) -> Vec<Id> {
+        let now = ctx.now.mono;
+        let open = |j: &&Job| !j.aborted && !j.stale && now >= j.not_before && j.waiting() > 0;
+        let mut stages: BTreeMap<&str, Vec<&Job>> = BTreeMap::new();
+        for j in self.jobs.values().filter(open).filter(|j| !j.is_service() && j.due().is_none()) {
+            stages.entry(&j.spec.jobline).or_default().push(j);
+        }
+        let mut behind: BTreeMap<&Id, u8> = BTreeMap::new();
+        for (stage, jobs) in stages {
+            self.yields(ctx, stage, jobs, &mut behind);
+        }
+        let mut list: Vec<(Rank, &Id)> = self
             .jobs
             .values()
-            .filter(|j| !j.aborted && !j.stale && now >= j.not_before && j.waiting() > 0)
+            .filter(open)
             .map(|j| {
                 let plain = j.due().is_none();
                 let estimate = if plain { 0 } else { (self.estimate(j) * 1000.0) as u64 };
-                (Reverse(j.spec.urgency), plain, estimate, j.at, &j.id)
+                let group = behind.get(&j.id).copied().unwrap_or(0);
+                ((Reverse(j.spec.urgency), group, plain, estimate, j.at), &j.id)
             })
             .collect();
         list.sort();
-        list.into_iter().map(|(.., id)| id.clone()).collect()
+        list.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Under overload, which of a stage's jobs yield to others: taken by the time at which each must
+    /// be done, whenever the work so far does not fit before that, the job with the most work goes
+    /// behind (Moore's rule, which leaves the fewest jobs late). What yields counts with its next
+    /// aim. With room for all nothing yields, and the order is the design's.
+    fn yields<'a>(&'a self, ctx: &Ctx, stage: &str, jobs: Vec<&'a Job>, behind: &mut BTreeMap<&'a Id, u8>) {
+        let Some(aim) = ctx.set.aims.get(stage) else { return };
+        let Some(first) = jobs.first() else { return };
+        let slots = self.all_slots(ctx, stage, first).max(1) as f64;
+        let mut left = jobs;
+        // Work of jobs that do not yield to those of a later level.
+        let mut before = 0.0;
+        for level in 0..=aim.start_s.len() as u8 {
+            // Time left for a job's work, by the aim of this level.
+            let time = |j: &Job| {
+                let nth = |list: &[f64]| {
+                    let mut list = list.to_vec();
+                    list.sort_by(f64::total_cmp);
+                    list.get(usize::from(level)).copied()
+                };
+                let age = (ctx.now.wall as f64 - j.at as f64) / 1000.0;
+                let estimate = self.estimate(j);
+                // An aim on starts leaves the last task's own run time on top. One that is shorter
+                // than a fetch or a round says nothing about the order.
+                let start = nth(&aim.start_s).filter(|s| *s > ctx.set.report_s * 3.0).map(|s| s + estimate);
+                start.map(|t| t - age)
+            };
+            let mut order: Vec<(f64, &Job)> = left.iter().filter_map(|j| time(j).map(|t| (t, *j))).collect();
+            if order.is_empty() {
+                break;
+            }
+            order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.id.cmp(&b.1.id)));
+            let mut kept: Vec<(f64, &Job)> = Vec::new();
+            let mut total = before;
+            let mut late: Vec<&Job> = Vec::new();
+            for (t, j) in order {
+                let estimate = self.estimate(j);
+                let work = estimate * f64::from(j.waiting()) / slots;
+                if t < estimate {
+                    late.push(j);
+                    continue;
+                }
+                kept.push((work, j));
+                total += work;
+                // The last task starts when the work before it is under way and ends an estimate later.
+                if total > t - estimate * 0.5 && total > t - work.min(estimate) {
+                    let most = kept.iter().enumerate().max_by(|a, b| a.1.0.total_cmp(&b.1.0)).map(|(i, _)| i);
+                    if let Some(i) = most {
+                        let (work, j) = kept.remove(i);
+                        total -= work;
+                        late.push(j);
+                    }
+                }
+            }
+            for j in &late {
+                behind.insert(&j.id, level + 1);
+            }
+            before = total;
+            left = late;
+        }
+    }
+
+    /// A stage's slots on all machines that its jobs may use.
+    fn all_slots(&self, ctx: &Ctx, stage: &str, job: &Job) -> i64 {
+        self.looms
+            .values()
+            .filter(|m| m.usable(ctx.now.mono, &ctx.set) && Self::allows(job, &m.frame, &m.hall, m.borrowed))
+            .map(|m| {
+                let mut room = m.free();
+                for p in &m.places {
+                    if self.jobs.get(&p.job).is_some_and(|j| j.spec.jobline == stage) {
+                        room.add(&p.need, 1);
+                    }
+                }
+                room.times(&job.need, 100_000)
+            })
+            .sum()
     }
 
     /// Places what can be placed.
     pub(crate) fn schedule(&mut self, ctx: &mut Ctx) {
         self.send_out(ctx);
         let now = ctx.now.mono;
-        let queue = self.queue(now);
+        let queue = self.queue(ctx);
         // What found no room once finds none again in this pass.
         let mut full: Vec<Kind> = Vec::new();
         let mut stops = PREEMPTIONS;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -233,12 +233,12 @@
             return false;
         }
         // A machine must be up well within what the class's aim leaves.
-        let aim = ctx.set.aims.get(&job.spec.jobline).copied().unwrap_or_default();
+        let aim = ctx.set.aims.get(&job.spec.jobline).cloned().unwrap_or_default();
         let mut wait = ctx.tune.plain_wait_s;
-        if let Some(s) = aim.start_s {
+        if let Some(s) = aim.start() {
             wait = wait.min(s * ctx.tune.aim_share - boot_s);
         }
-        if let Some(s) = aim.finish_s {
+        if let Some(s) = aim.finish() {
             wait = wait.min((s - self.estimate(job)) * ctx.tune.aim_share - boot_s);
         }
         ctx.now.wall.saturating_sub(job.at) as f64 / 1000.0 >= wait
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -24,14 +24,25 @@
 }
 
 /// What a class of jobs is expected to do.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Aim {
-    /// Tasks start within this time.
-    pub start_s: Option<f64>,
-    /// Jobs are done within this time (the shortest stated).
-    pub finish_s: Option<f64>,
-    /// Jobs have deadlines that count.
-    pub deadline: bool,
+    /// Tasks start within these times.
+    pub start_s: Vec<f64>,
+    /// Jobs are done within these times.
+    pub finish_s: Vec<f64>,
+    /// Jobs are done within these multiples of their deadlines.
+    pub times: Vec<f64>,
+}
+
+impl Aim {
+    /// The shortest time for starts.
+    pub fn start(&self) -> Option<f64> {
+        self.start_s.iter().copied().reduce(f64::min)
+    }
+    /// The shortest time for ends.
+    pub fn finish(&self) -> Option<f64> {
+        self.finish_s.iter().copied().reduce(f64::min)
+    }
 }
 
 /// The platform's settings, as the owner needs them.
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -109,8 +109,8 @@
                     let class = w.next()?.to_string();
                     let aim = s.aims.entry(class).or_default();
                     match w.next()? {
-                        "wait" => aim.start_s = Some(w.number()?),
-                        "finished" => aim.finish_s = Some(w.number()?),
+                        "wait" => aim.start_s.push(w.number()?),
+                        "finished" => aim.finish_s.push(w.number()?),
                         other => return w.fail(format!("no such aim: {other}")),
                     }
                 }
