--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -316,7 +316,7 @@
     fn make_room(&mut self, ctx: &mut Ctx, id: &Id) -> Option<Id> {
         let now = ctx.now.mono;
         let job = self.jobs.get(id)?;
-        let mut best: Option<(u64, Id, Vec<u64>)> = None;
+        let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
         for m in self.looms.values() {
             if !m.usable(now, &ctx.set)
                 || m.sick_times > 0
@@ -345,8 +345,10 @@
                 lost += ran;
                 list.push(p.slot);
             }
-            if free.fits(&job.need) && !list.is_empty() && best.as_ref().is_none_or(|(l, ..)| lost < *l) {
-                best = Some((lost, m.id.clone(), list));
+            // A fetch would cost the start more than it saves.
+            let rank = (!m.has_image(&job.spec.bundle), lost);
+            if free.fits(&job.need) && !list.is_empty() && best.as_ref().is_none_or(|(r, ..)| rank < *r) {
+                best = Some((rank, m.id.clone(), list));
             }
         }
         let (_, loom, victims) = best?;
