Make room where the image is, in place of a fetch, for classes with quick starts

Cause: nearly all late starts of services and label runs waited for an image on a machine with free room, while machines with the image ran ordinary work. Ruled out: time to accept, commit and command (p50 of the wait is 30 ms).

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -8,6 +8,7 @@
 use crate::leader::Leader;
 use crate::model::*;
 use crate::node::Ctx;
+use crate::settings::Aim;
 use shaleshunt_wire::Room;
 use shaleshunt_wire::user::Urgency;
 use std::cmp::Reverse;
@@ -207,9 +208,15 @@
                         full.push(kind);
                     }
                 }
-                if loom.is_none() && stops > 0 && job.spec.urgency > Urgency::Normal {
-                    loom = self.make_room(ctx, &id);
-                    stops -= u32::from(loom.is_some());
+                // Room without the image is as good as none where starts are to be quicker than a fetch.
+                let quick = ctx.set.aims.get(&job.spec.jobline).and_then(Aim::start);
+                let hasty = quick.is_some_and(|s| s < self.fetch_s(ctx, job));
+                let fetches = |m: &Loom| !m.has_image(&job.spec.bundle);
+                let poor = hasty && loom.as_ref().and_then(|l| self.looms.get(l)).is_some_and(fetches);
+                if (loom.is_none() || poor) && stops > 0 && job.spec.urgency > Urgency::Normal {
+                    let made = self.make_room(ctx, &id, poor);
+                    stops -= u32::from(made.is_some());
+                    loom = made.or(loom);
                 }
                 let Some(loom) = loom else { break };
                 from = piece + 1;
@@ -313,7 +320,7 @@
 
     /// Stops less urgent tasks for one of this job: on the machine where the least run time is
     /// lost. A task that cannot save ends at once, so the new one starts with the same message.
-    fn make_room(&mut self, ctx: &mut Ctx, id: &Id) -> Option<Id> {
+    fn make_room(&mut self, ctx: &mut Ctx, id: &Id, with_image: bool) -> Option<Id> {
         let now = ctx.now.mono;
         let job = self.jobs.get(id)?;
         let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
@@ -323,6 +330,7 @@
                 || !Self::allows(job, &m.frame, &m.hall, m.borrowed)
                 || !Self::zone_fits(job, &m.hall)
                 || !m.room.fits(&job.need)
+                || with_image && !m.has_image(&job.spec.bundle)
             {
                 continue;
             }
