--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -152,7 +152,8 @@
     }
 
     fn gather_looms(&mut self, f: &mut Flight, with_plans: bool) {
-        for (id, m) in &mut self.looms {
+        for id in self.looms.keys().cloned().collect::<Vec<Id>>() {
+            let Some(m) = self.looms.get(&id) else { continue };
             if !m.dirty || m.writing || m.shift == 0 && m.stamp == 0 && m.owned {
                 continue;
             }
@@ -160,22 +161,48 @@
             if plans.is_empty() == with_plans {
                 continue;
             }
-            let new_jobs: BTreeSet<Id> =
-                plans.iter().map(|p| p.job.clone()).filter(|j| !f.txn.jobs.contains(j)).collect();
-            let v = m.record();
+            let jobs: BTreeSet<Id> = plans.iter().map(|p| p.job.clone()).collect();
+            // A new leader that found a task on two machines' records could start it on both. So a
+            // job's plans wait until no record outside this transaction names what was released.
+            let ours = |l: &Id| *l == id || f.looms.iter().any(|(w, _)| w == l);
+            let named = |l: &Id| {
+                (self.looms.get(l).is_some_and(|t| t.released) && !ours(l))
+                    || self.gone.contains_key(l) && !f.dropped.contains(l)
+            };
+            let blocked = jobs.iter().filter_map(|j| self.jobs.get(j)).any(|j| j.tails.iter().any(named));
+            if blocked {
+                // Two machines could wait for each other: the record goes out without the plans.
+                if m.released {
+                    let v = m.record(false);
+                    if f.txn.takes(1, 1, v.to_string().len()) {
+                        f.looms.push((id.clone(), Vec::new()));
+                        f.txn.set(format!("{}{id}", keys::LOOMS), m.stamp, v);
+                        if let Some(m) = self.looms.get_mut(&id) {
+                            m.released = false;
+                            m.writing = true;
+                        }
+                    }
+                }
+                continue;
+            }
+            let new_jobs: Vec<Id> = jobs.into_iter().filter(|j| !f.txn.jobs.contains(j)).collect();
+            let v = m.record(true);
             if !f.txn.takes(1, 1 + new_jobs.len(), v.to_string().len()) {
                 continue;
             }
+            f.looms.push((id.clone(), plans.iter().map(|p| p.slot).collect()));
+            f.txn.set(format!("{}{id}", keys::LOOMS), m.stamp, v);
             for job in new_jobs {
                 let Some(j) = self.jobs.get(&job) else { continue };
                 let path = format!("{}{job}", keys::JOBS);
                 f.txn.txn.conditions.push(Condition { path, stamp: j.stamp });
                 f.txn.jobs.insert(job);
             }
-            f.txn.set(format!("{}{id}", keys::LOOMS), m.stamp, v);
-            f.looms.push((id.clone(), plans.iter().map(|p| p.slot).collect()));
-            m.dirty = false;
-            m.writing = true;
+            if let Some(m) = self.looms.get_mut(&id) {
+                m.dirty = false;
+                m.released = false;
+                m.writing = true;
+            }
         }
     }
 
@@ -332,6 +359,7 @@
             let Some(m) = self.looms.get_mut(&id) else { continue };
             m.writing = false;
             m.dirty = true;
+            m.released = true;
             let void: Vec<u64> = m
                 .places
                 .iter()
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -272,6 +272,7 @@
                 m.push = !m.endpoint.is_empty() && m.shift > 0;
             }
         }
+        self.halt_doubles();
         self.active = true;
         self.changed_jobs = self.jobs.keys().cloned().collect();
         let cancelled: Vec<Id> = self.jobs.values().filter(|j| j.aborted).map(|j| j.id.clone()).collect();
@@ -285,6 +286,27 @@
         self.watch(ctx);
     }
 
+    /// Where records name a task twice, the earlier placement had been released when the later was
+    /// planned, so it is gone; it must not be started again and is released by proof as any other.
+    fn halt_doubles(&mut self) {
+        for job in self.jobs.values() {
+            for list in job.live.values().filter(|l| l.len() > 1) {
+                let attempt = |(loom, slot): &(Id, u64)| {
+                    let places = self.looms.get(loom).map(|m| &m.places);
+                    places.and_then(|p| p.iter().find(|p| p.slot == *slot)).map_or(0, |p| p.attempt)
+                };
+                let latest = list.iter().map(attempt).max().unwrap_or(0);
+                let earlier: Vec<(Id, u64)> = list.iter().filter(|e| attempt(e) < latest).cloned().collect();
+                for (loom, slot) in earlier {
+                    let place = self.looms.get_mut(&loom).and_then(|m| m.places.iter_mut().find(|p| p.slot == slot));
+                    if let Some(p) = place {
+                        p.halt = Some(0.0);
+                    }
+                }
+            }
+        }
+    }
+
     fn watch(&mut self, ctx: &mut Ctx) {
         self.watch_at = None;
         let after = self.watch_from.unwrap_or(0);
@@ -456,6 +478,7 @@
             images: Vec::new(),
             stamp: 0,
             dirty: true,
+            released: false,
             writing: false,
             heard: None,
             ours: false,
@@ -500,6 +523,8 @@
         let p = m.places.remove(at);
         m.used.add(&p.need, -1);
         m.dirty |= !done;
+        // A plan may be in the write that is under way.
+        m.released |= !done && (p.stage != Stage::Planned || m.writing);
         if m.places.is_empty() {
             m.idle_since = now;
         }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -318,6 +318,8 @@
     pub stamp: u64,
     /// Its record is to be written.
     pub dirty: bool,
+    /// Its record names something that has been released.
+    pub released: bool,
     /// A write of its record is under way.
     pub writing: bool,
     /// Last report received by this leader.
@@ -361,8 +363,8 @@
 }
 
 impl Loom {
-    /// Its record.
-    pub fn record(&self) -> Value {
+    /// Its record, with or without what is only planned.
+    pub fn record(&self, plans: bool) -> Value {
         json!(LoomRecord {
             f: self.frame.clone(),
             z: self.hall.clone(),
@@ -371,7 +373,12 @@
             e: self.endpoint.clone(),
             s: self.shift,
             t: self.hired,
-            p: self.places.iter().map(|p| (p.job.to_string(), p.piece, p.attempt)).collect(),
+            p: self
+                .places
+                .iter()
+                .filter(|p| plans || p.stage != Stage::Planned)
+                .map(|p| (p.job.to_string(), p.piece, p.attempt))
+                .collect(),
             i: self.images.clone(),
         })
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -19,7 +19,7 @@
     }
     /// Whether `used` is within the guarantee.
     pub fn guarantees(&self, used: &Room) -> bool {
-        used.cores <= self.guarantee.0 && used.cards <= self.guarantee.1.max(0)
+        used.cores <= self.guarantee.0 && used.cards <= self.guarantee.1
     }
 }
 
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -22,6 +22,8 @@
     lease_s: f64,
     cancel_s: f64,
     write_rps: f64,
+    txn_ops: usize,
+    jitter: u64,
     zones: Vec<String>,
     teams: BTreeMap<String, Team>,
     aims: BTreeMap<String, Aim>,
@@ -73,6 +75,8 @@
             lease_s: 27.0,
             cancel_s: 52.0,
             write_rps: 80.0,
+            txn_ops: 24,
+            jitter: 0,
             zones: vec!["a".into(), "b".into(), "c".into()],
             teams: BTreeMap::from([("t".to_string(), Team::default())]),
             aims: BTreeMap::new(),
@@ -97,6 +101,8 @@
                 "report" => s.report_s = w.number()?,
                 "lease" => s.lease_s = w.number()?,
                 "cancel" => s.cancel_s = w.number()?,
+                "jitter" => s.jitter = w.ms()?,
+                "ops" => s.txn_ops = w.number()?,
                 "writes" => s.write_rps = w.number()?,
                 "team" => {
                     let name = w.next()?.to_string();
@@ -153,7 +159,7 @@
             state_rps: 200.0,
             state_write_rps: self.write_rps,
             value_kb: 16.0,
-            txn_ops: 24,
+            txn_ops: self.txn_ops,
             cloud_rps: 5.0,
             list_lag_s: 3.0,
             mem_mb: 128.0,
@@ -178,7 +184,9 @@
             w.user(spec.clone(), *at, *withdraw);
         }
         for (at, t) in &self.troubles {
-            w.trouble(*at, t.clone());
+            // Spread by the seed, so that many moments are hit.
+            let spread = if self.jitter > 0 { seed * 7919 * (1 + *at) % self.jitter } else { 0 };
+            w.trouble(*at + spread, t.clone());
         }
         w
     }
@@ -189,7 +197,13 @@
         let wanted = std::env::var("SEEDS").ok().and_then(|n| n.parse().ok());
         for seed in 1..=wanted.unwrap_or(self.seeds) {
             let mut w = self.world(seed);
+            // The log of one seed, to see what went on.
+            let logged = std::env::var("LOGGED").is_ok_and(|s| s == seed.to_string());
+            w.log = logged.then(Vec::new);
             w.run(self.until);
+            for line in w.log.iter().flatten() {
+                println!("{line}");
+            }
             wrong.extend(w.check.broken.iter().map(|b| format!("seed {seed}: {b}")));
             for (line, words) in &self.expects {
                 if let Err(what) = expect(&w, words) {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -297,6 +297,7 @@
                     return;
                 }
                 let (fine, report) = w.orders(now, orders, &self.check.jobs);
+                self.flush(&to);
                 let reply = if fine { OrdersReply::Executed(report) } else { OrdersReply::Outdated(report) };
                 self.reply(who, Command::Orders(id, Ok(reply)), Side::Workers);
             }
@@ -403,8 +404,6 @@
         if now >= w.hangs_until {
             w.turn(now, &self.check.jobs, &self.check.completed, &self.broken);
         }
-        let events = std::mem::take(&mut w.events);
-        let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
         if let Some(t) = self.warned.get(name) {
             w.warn_s = Some(t.saturating_sub(now) as f64 / 1000.0);
         }
@@ -419,9 +418,7 @@
                 send = Some((w.node, w.waiting, r));
             }
         }
-        for e in events {
-            self.check.machine(now, name, &place, &e);
-        }
+        self.flush(name);
         if let Some((node, Some(sent), report)) = send {
             let d = self.delay();
             match self.cut(node, Side::Workers) {
@@ -433,6 +430,16 @@
         }
     }
 
+    /// Shows the checker what a machine has done, in the order in which it happened.
+    fn flush(&mut self, name: &str) {
+        let Some(w) = self.workers.get_mut(name) else { return };
+        let events = std::mem::take(&mut w.events);
+        let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
+        for e in events {
+            self.check.machine(self.now, name, &place, &e);
+        }
+    }
+
     fn worker_moves(&mut self, name: &str, to: Option<usize>, after: u64) {
         let nodes = self.nodes.len();
         if let Some(w) = self.workers.get_mut(name) {
@@ -564,6 +571,7 @@
                         {
                             w.answer(now, sent, reply, &self.check.jobs);
                         }
+                        self.flush(&name);
                     }
                     Answer::Elsewhere(Some(to)) => {
                         let to = self.settings.iter().position(|s| s.label == to);
