--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -18,7 +18,7 @@
 const PREEMPTIONS: u32 = 8;
 
 /// A job's place in the queue, smallest first.
-type Rank = (Reverse<Urgency>, u8, bool, u64, u64);
+type Rank = (Reverse<Urgency>, bool, u8, bool, u64, u64);
 
 /// What decides, zone rules aside, which machines a task may use.
 type Kind = (Room, bool, Option<String>, Option<Vec<String>>);
@@ -82,6 +82,7 @@
         for (stage, jobs) in stages {
             self.yields(ctx, stage, jobs, &mut behind);
         }
+        let guaranteed = self.guaranteed(ctx);
         let mut list: Vec<(Rank, &Id)> = self
             .jobs
             .values()
@@ -90,13 +91,30 @@
                 let plain = j.due().is_none();
                 let estimate = if plain { 0 } else { (self.estimate(j) * 1000.0) as u64 };
                 let group = behind.get(&j.id).copied().unwrap_or(0);
-                ((Reverse(j.spec.urgency), group, plain, estimate, j.at), &j.id)
+                ((Reverse(j.spec.urgency), !guaranteed.contains(&j.id), group, plain, estimate, j.at), &j.id)
             })
             .collect();
         list.sort();
         list.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
+    fn guaranteed(&self, ctx: &Ctx) -> BTreeSet<Id> {
+        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.aborted).collect();
+        by_age.sort_by_key(|j| (j.at, &j.id));
+        let mut sums: BTreeMap<&str, Room> = BTreeMap::new();
+        let mut fits = BTreeSet::new();
+        for j in by_age {
+            let Some(team) = ctx.set.teams.get(&j.spec.crew) else { continue };
+            let sum = sums.entry(&j.spec.crew).or_default();
+            sum.add(&j.need, i64::from(j.spec.pieces));
+            if team.guarantees(sum) {
+                fits.insert(j.id.clone());
+            }
+        }
+        fits
+    }
+
     /// Under overload, which of a stage's jobs yield to others: taken by the time at which each must
     /// be done, whenever the work so far does not fit before that, the job with the most work goes
     /// behind (Moore's rule, which leaves the fewest jobs late). What yields counts with its next
@@ -180,6 +198,7 @@
         self.send_out(ctx);
         let now = ctx.now.mono;
         let queue = self.queue(ctx);
+        let guaranteed = self.guaranteed(ctx);
         // What found no room once finds none again in this pass.
         let mut full: Vec<Kind> = Vec::new();
         let mut stops = PREEMPTIONS;
@@ -213,8 +232,9 @@
                 let hasty = quick.is_some_and(|s| s < self.fetch_s(ctx, job));
                 let fetches = |m: &Loom| !m.has_image(&job.spec.bundle);
                 let poor = hasty && loom.as_ref().and_then(|l| self.looms.get(l)).is_some_and(fetches);
-                if (loom.is_none() || poor) && stops > 0 && job.spec.urgency > Urgency::Normal {
-                    let made = self.make_room(ctx, &id, poor);
+                let due = guaranteed.contains(&id);
+                if (loom.is_none() || poor) && stops > 0 && (due || job.spec.urgency > Urgency::Normal) {
+                    let made = self.make_room(ctx, &id, poor, &guaranteed);
                     stops -= u32::from(made.is_some());
                     loom = made.or(loom);
                 }
@@ -320,9 +340,20 @@
 
     /// Stops less urgent tasks for one of this job: on the machine where the least run time is
     /// lost. A task that cannot save ends at once, so the new one starts with the same message.
-    fn make_room(&mut self, ctx: &mut Ctx, id: &Id, with_image: bool) -> Option<Id> {
+    fn make_room(&mut self, ctx: &mut Ctx, id: &Id, with_image: bool, guaranteed: &BTreeSet<Id>) -> Option<Id> {
         let now = ctx.now.mono;
         let job = self.jobs.get(id)?;
+        // Less urgent work; or, for a team's guarantee, what another team runs beyond its own.
+        let borrows = |crew: &str| {
+            let used = self.teams.get(crew).copied().unwrap_or_default();
+            ctx.set.teams.get(crew).is_some_and(|t| !t.guarantees(&used))
+        };
+        let due = !with_image && guaranteed.contains(id);
+        let yields = |j: &Job| {
+            let back = due && j.spec.crew != job.spec.crew && !guaranteed.contains(&j.id) && borrows(&j.spec.crew);
+            let back = back && j.spec.urgency <= job.spec.urgency && !j.is_service();
+            j.spec.mark_every_s <= 0.0 && (j.spec.urgency < job.spec.urgency || back)
+        };
         let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
         for m in self.looms.values() {
             if !m.usable(now, &ctx.set)
@@ -339,7 +370,7 @@
                 .iter()
                 .filter(|p| p.halt.is_none())
                 .filter_map(|p| self.jobs.get(&p.job).map(|j| (p, j)))
-                .filter(|(_, j)| j.spec.urgency < job.spec.urgency && j.spec.mark_every_s <= 0.0)
+                .filter(|(_, j)| yields(j))
                 .map(|(p, _)| (p.running.map_or(0, |r| now.saturating_sub(r)), p))
                 .collect();
             victims.sort_by_key(|(ran, p)| (*ran, p.slot));
