A leader whose connection broke is replaced at once; going through a peer no longer flaps

Its lease is ended by whoever sees its connection break; the epoch fences the rest. In a general outage nodes no longer take each other for served; the testkit lost relayed watches, which is mended.

--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -104,6 +104,9 @@
     /// Leadership is looked at again at this time, unless a request for it is under way.
     look_at: Option<u64>,
     vote_ledger: u64,
+    via_at: u64,
+    /// The leader's lease at the state service.
+    lead_pass: Option<u64>,
     peers: BTreeMap<String, PeerView>,
     counts: HashMap<String, (u32, u32)>,
     catalog_at: u64,
@@ -134,6 +137,8 @@
             epoch: 0,
             look_at: Some(now.mono),
             vote_ledger: 0,
+            via_at: 0,
+            lead_pass: None,
             peers,
             counts: HashMap::new(),
             catalog_at: now.mono,
@@ -190,6 +195,15 @@
                 if let Some(p) = self.peers.get_mut(&from) {
                     p.heard = 0;
                 }
+                // The leader's connection broke: most likely its process has ended. Its lease is
+                // ended for it, rather than waited for. If it lives, that costs it an election;
+                // nothing rests on the guess, since the epoch fences what it still sends.
+                if self.leader.is_none()
+                    && self.foreman.as_deref() == Some(from.as_str())
+                    && let Some(pass) = self.lead_pass.take()
+                {
+                    self.ctx.state(StateRequest::EndHold { pass }, Wait::Ignore);
+                }
             }
             Command::Tick => {}
         }
@@ -212,7 +226,8 @@
         self.peers
             .iter()
             .filter(|(_, p)| p.heard > 0 && self.ctx.now.mono.saturating_sub(p.heard) < fresh)
-            .filter(|(_, p)| u64::from(p.state_age_ms) < fresh / 2)
+            .filter(|(_, p)| u64::from(p.state_age_ms) + self.ctx.state_ok.min(p.heard) < p.heard)
+            .filter(|(_, p)| u64::from(p.state_age_ms) < fresh / 2 && self.ctx.now.mono - self.ctx.state_ok > fresh)
             .min_by_key(|(_, p)| p.state_age_ms)
             .map(|(label, _)| label.clone())
     }
@@ -313,6 +328,7 @@
                             self.look_soon(0.02);
                         } else {
                             self.foreman = Some(node);
+                            self.lead_pass = lead.v["pass"].as_u64();
                             self.watch_lead();
                         }
                     }
@@ -467,6 +483,7 @@
                 if let Some(peer) = self.served_peer() {
                     self.ctx.log(Severity::Info, format!("state service refuses this node alone: through {peer}"));
                     self.ctx.via = Some(peer);
+                    self.via_at = now;
                     self.front.probe_at = now + self.ctx.set.report_ms();
                     if self.leader.is_none() {
                         self.look();
@@ -476,7 +493,9 @@
             Some(peer) => {
                 let heard = self.peers.get(peer).map_or(0, |p| p.heard);
                 let lost = now.saturating_sub(heard) > self.ctx.set.report_ms() / 2;
-                if lost || self.ctx.state_down() {
+                // What was still on the direct way may fail for a while.
+                let settled = now.saturating_sub(self.via_at) > self.ctx.set.report_ms() / 2;
+                if lost || settled && self.ctx.state_down() {
                     self.ctx.via = None;
                     self.ctx.state_bad = now;
                 } else if now >= self.front.probe_at {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -156,6 +156,7 @@
     state_back: u64,
     cloud_back: u64,
     refused: Vec<u64>,
+    relayed: BTreeSet<(Life, u64)>,
     cuts: Vec<(usize, Side, u64, bool)>,
     late_txns: (u32, u64),
     late_orders: BTreeMap<String, (u64, u64)>,
@@ -197,6 +198,7 @@
             state_back: 0,
             cloud_back: 0,
             refused: vec![0; n],
+            relayed: BTreeSet::new(),
             cuts: Vec::new(),
             late_txns: (0, 0),
             late_orders: BTreeMap::new(),
@@ -346,6 +348,11 @@
 
     fn state_turn(&mut self) {
         for (who, id, reply) in self.state.turn(self.now) {
+            if self.relayed.remove(&(who, id)) {
+                let d = self.delay() * 2;
+                self.at(self.now + d, What::ToNode(who, Command::State(id, Ok(reply))));
+                continue;
+            }
             if self.now < self.refused[who.0] {
                 continue;
             }
@@ -502,6 +509,9 @@
                     let linked = self.cut(who.0, Side::All).is_none_or(|_| self.cut(who.0, Side::State).is_none());
                     if served && linked && self.nodes[path].is_some() {
                         let result = self.state.handle(now, who, id, request);
+                        if result.is_none() {
+                            self.relayed.insert((who, id));
+                        }
                         if let Some(result) = result {
                             self.at(now + d * 2, What::ToNode(who, Command::State(id, result)));
                         }
@@ -660,6 +670,11 @@
                     self.nodes[i] = None;
                     self.lives[i] += 1;
                     self.at(now + back, What::Restart(i));
+                    // Its connections break.
+                    for to in 0..self.nodes.len() {
+                        let (who, label) = ((to, self.lives[to]), self.settings[i].label.clone());
+                        self.at(now + 5, What::ToNode(who, Command::PeerLost(label)));
+                    }
                 }
             }
             Trouble::StateDown(ms) => {
