Ordinary work keeps off machines that may be taken; sent-out work goes there

Cause: a tenth of lote-torra's tasks was lost with spot machines while label runs of 18 s held ordinary ones.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -45,6 +45,12 @@
         if rate.is_finite() { job.spec.image_gb / rate } else { 0.0 }
     }
 
+    /// Whether a job's class is to start more quickly than its image can be fetched.
+    fn hasty(&self, ctx: &Ctx, job: &Job) -> bool {
+        let quick = ctx.set.aims.get(&job.spec.jobline).and_then(Aim::start);
+        quick.is_some_and(|s| s < self.fetch_s(ctx, job))
+    }
+
     /// Whether a job's rules allow this machine, room and zone balance aside.
     pub(crate) fn allows(job: &Job, frame: &str, hall: &str, borrowed: bool) -> bool {
         let s = &job.spec;
@@ -228,8 +234,7 @@
                     }
                 }
                 // Room without the image is as good as none where starts are to be quicker than a fetch.
-                let quick = ctx.set.aims.get(&job.spec.jobline).and_then(Aim::start);
-                let hasty = quick.is_some_and(|s| s < self.fetch_s(ctx, job));
+                let hasty = self.hasty(ctx, job);
                 let fetches = |m: &Loom| !m.has_image(&job.spec.bundle);
                 let poor = hasty && loom.as_ref().and_then(|l| self.looms.get(l)).is_some_and(fetches);
                 let due = guaranteed.contains(&id);
@@ -314,6 +319,7 @@
         let now = ctx.now.mono;
         let cap = ctx.set.value_bytes() / 64;
         let service = job.is_service();
+        let hasty = self.hasty(ctx, job);
         self.looms
             .values()
             .filter(|m| m.free().fits(&job.need) && m.usable(now, &ctx.set) && m.places.len() < cap)
@@ -333,7 +339,10 @@
                 } else {
                     2
                 };
-                (m.sick_times > 0, image, mates, zone, !m.owned, m.free().cores, m.id.clone())
+                // What is sent out goes to rented machines; the rest keeps off those that may be taken.
+                let kind = m.borrowed != (job.sent_out && job.spec.borrowed);
+                let first = if hasty { (image, kind) } else { (u8::from(kind), image > 0) };
+                (m.sick_times > 0, first, mates, zone, !m.owned, m.free().cores, m.id.clone())
             })
             .map(|m| m.id.clone())
     }
