--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -395,6 +395,10 @@
             }
             // A fetch would cost the start more than it saves.
             let rank = (!m.has_image(&job.spec.bundle), lost);
+            // In place of a mere fetch, not more than a few times what the fetch takes is thrown away.
+            if with_image && !job.is_service() && lost as f64 > self.fetch_s(ctx, job) * 2000.0 {
+                continue;
+            }
             if free.fits(&job.need) && !list.is_empty() && best.as_ref().is_none_or(|(r, ..)| rank < *r) {
                 best = Some((rank, m.id.clone(), list));
             }
