--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -559,14 +559,19 @@
         let Some(job) = self.jobs.get(id) else { return };
         let live: Vec<(Id, u64)> = job.live.values().flatten().cloned().collect();
         for (loom, slot) in live {
-            let Some(m) = self.looms.get_mut(&loom) else { continue };
-            let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
-            if p.sent {
-                p.halt = Some(0.0);
-                m.push = true;
-            } else {
-                self.release(ctx.now.mono, &loom, slot, false);
-            }
+            self.stop_place(ctx.now.mono, &loom, slot);
+        }
+    }
+
+    /// Stops a task at once; one whose `run` never left is released.
+    pub(crate) fn stop_place(&mut self, now: u64, loom: &Id, slot: u64) {
+        let Some(m) = self.looms.get_mut(loom) else { return };
+        let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { return };
+        if p.sent {
+            p.halt = Some(0.0);
+            m.push = true;
+        } else {
+            self.release(now, loom, slot, false);
         }
     }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -260,6 +260,8 @@
     fn state_answer(&mut self, id: RequestId, result: Result<StateReply, IoError>) {
         let Some((wait, sent)) = self.ctx.waits.remove(&id) else { return };
         match &result {
+            // A look at the direct way says nothing about the way in use.
+            _ if matches!(wait, Wait::Front(FrontWait::Probe)) => {}
             Err(IoError::NotSent | IoError::Unknown | IoError::Refused) => self.ctx.state_bad = self.ctx.now.mono,
             _ => self.ctx.state_ok = self.ctx.now.mono,
         }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -406,14 +406,7 @@
         let (_, loom, victims) = best?;
         ctx.log(Severity::Debug, format!("machine {loom}: {} tasks make room for {id}", victims.len()));
         for slot in victims {
-            let Some(m) = self.looms.get_mut(&loom) else { continue };
-            let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
-            if p.sent {
-                p.halt = Some(0.0);
-                m.push = true;
-            } else {
-                self.release(now, &loom, slot, false);
-            }
+            self.stop_place(now, &loom, slot);
         }
         Some(loom)
     }
