--- /dev/null
+++ b/crates/net/tests/http.rs
@@ -0,0 +1,113 @@
+//! The HTTP server against bad input: every request gets a clear answer or a closed connection, and
+//! the server goes on serving.
+
+use shaleshunt_core::io::Answer;
+use shaleshunt_net::server::{Limits, serve};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+/// Runs a server whose owner says that all is well, and talks to it.
+fn with_server<F: Future<Output = ()>>(connections: usize, talk: impl FnOnce(SocketAddr) -> F) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (asks, mut asked) = mpsc::channel(16);
+        let patience = Duration::from_millis(300);
+        let limits = Limits { connections, patience, answer: Duration::from_secs(5) };
+        tokio::task::spawn_local(serve(listener, asks, limits));
+        tokio::task::spawn_local(async move {
+            while let Some((_, tell)) = asked.recv().await {
+                let _ = tell.send(Answer::Healthy);
+            }
+        });
+        talk(address).await;
+    });
+}
+
+/// Sends bytes and reads until the server closes or one answer is complete; its status, if any.
+async fn status(address: SocketAddr, request: &[u8]) -> Option<u16> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(request).await.ok()?;
+    let mut got = Vec::new();
+    let mut buf = [0; 4096];
+    while !got.windows(4).any(|w| w == b"\r\n\r\n") {
+        match stream.read(&mut buf).await {
+            Ok(n) if n > 0 => got.extend_from_slice(&buf[..n]),
+            _ => break,
+        }
+    }
+    String::from_utf8_lossy(&got).split_whitespace().nth(1)?.parse().ok()
+}
+
+fn post(path: &str, body: &str) -> Vec<u8> {
+    format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
+}
+
+const GOOD: &str = r#"{"ref":"wk-1","jobline":"x","crew":"t","shape":"array","urgency":"high","pieces":2,"cores":2.0,
+"cards":0.0,"ramGb":1.0,"bundle":"i","imageGb":1.0,"oneZone":false,"scatter":false,"borrowed":false,
+"expectS":1.0,"markEveryS":0.0,"markTakesS":0.0,"frames":null,"hall":null,"later":{"field":1}}"#;
+
+#[test]
+fn bad_input_gets_a_clear_answer() {
+    with_server(64, |address| async move {
+        assert_eq!(status(address, &post("/submissions", GOOD)).await, Some(200));
+        for (from, to) in [
+            ("\"pieces\":2", "\"pieces\":0"),
+            ("\"pieces\":2", "\"pieces\":100001"),
+            ("\"pieces\":2", "\"pieces\":-1"),
+            ("\"pieces\":2", "\"pieces\":2.5"),
+            ("\"cores\":2.0", "\"cores\":-2.0"),
+            ("\"cores\":2.0", "\"cores\":1e400"),
+            ("\"cores\":2.0", "\"cores\":NaN"),
+            ("\"cores\":2.0", "\"cores\":\"2\""),
+            ("\"cores\":2.0,", ""),
+            ("\"shape\":\"array\"", "\"shape\":\"circle\""),
+            ("\"urgency\":\"high\"", "\"urgency\":null"),
+            ("wk-1", "wk-1/../x"),
+            ("wk-1", ""),
+            ("{", "["),
+        ] {
+            let body = GOOD.replacen(from, to, 1);
+            assert_eq!(status(address, &post("/submissions", &body)).await, Some(400), "{to}");
+        }
+        for body in ["", "null", "[]", "\u{0}", "{\"ref\":", &"[".repeat(60_000)] {
+            assert_eq!(status(address, &post("/submissions", body)).await, Some(400));
+            assert_eq!(status(address, &post("/checkin", body)).await, Some(400));
+        }
+        let large = format!("{{\"ref\":\"{}\"}}", "x".repeat(70_000));
+        assert_eq!(status(address, &post("/submissions", &large)).await, Some(413));
+        let get = |path: &str| format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n").into_bytes();
+        assert_eq!(status(address, &get("/submissions")).await, Some(405));
+        assert_eq!(status(address, &get("/submissions/wk-1/withdraw")).await, Some(405));
+        assert_eq!(status(address, &get("/submissions/wk-1/other")).await, Some(404));
+        assert_eq!(status(address, &get("/submissions/%2e%2e")).await, Some(404));
+        assert_eq!(status(address, &get("/nowhere")).await, Some(404));
+        assert_eq!(status(address, &post("/up", "")).await, Some(405));
+        assert_eq!(status(address, b"\x16\x03\x01\x00\x00nonsense\r\n\r\n").await, Some(400));
+        assert_eq!(status(address, &get("/up")).await, Some(200));
+    });
+}
+
+#[test]
+fn half_sent_requests_and_idle_connections_do_not_keep_others_out() {
+    with_server(4, |address| async move {
+        // As many as may be open, all of them stuck in the middle of something.
+        let mut stuck = Vec::new();
+        for half in ["", "GET /up HT", "POST /checkin HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n{", "POST"] {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(half.as_bytes()).await.unwrap();
+            stuck.push(stream);
+        }
+        // Each is answered or closed in the end, by the server.
+        for stream in &mut stuck {
+            let mut rest = Vec::new();
+            let _ = stream.read_to_end(&mut rest).await;
+        }
+        let up = b"GET /up HTTP/1.1\r\nhost: x\r\n\r\n";
+        assert_eq!(status(address, up).await, Some(200));
+    });
+}
