--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -1,34 +1,46 @@
-//! The leader's transactions: one at a time, each holding all that has become due since the last.
+//! The leader's transactions: one at a time, each holding what has become due since the last.
 //!
 //! Every transaction conditions on the epoch's stamp and on the stamp of every key that it writes,
 //! and on the stamp of each job that it places. So copies that arrive late fail, and so does
-//! everything that an older leader still sends. One that brought no answer is sent again as it
-//! was: if it then succeeds, it was not carried out before; if it conflicts, it may have been, and
-//! the leader takes a new epoch and reads everything again.
+//! everything that an older leader still sends. One that brought no answer is settled by reading a
+//! key that it writes, and is sent again as it was while that key has not changed.
+//!
+//! What is known of tasks goes on pages (see `pages`), so a transaction that places tasks of many
+//! jobs costs one write or two. Outcomes go along, or alone after a while: nothing but the machines'
+//! `forget` waits for them, since a new leader learns them from the next reports.
 
 use crate::io::*;
 use crate::leader::{LeadWait, Leader};
 use crate::model::*;
-use crate::node::Ctx;
+use crate::node::{Ctx, Wait};
+use crate::pages::{Draft, Noted};
 use serde_json::json;
 use shaleshunt_wire::MAX_BODY;
 use shaleshunt_wire::state::{Condition, Txn, Write};
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
 /// A transaction under way, and what its success means.
 #[derive(Debug, Default)]
 pub(crate) struct Flight {
     txn: Txn0,
-    looms: Vec<(Id, Vec<u64>)>,
-    dropped: Vec<Id>,
-    chunks: Vec<(Id, u32, Vec<u32>)>,
+    /// Pages being put together, and those in the transaction.
+    pub(crate) drafts: Vec<Draft>,
+    pub(crate) pages: Vec<Draft>,
+    pub(crate) noted: Vec<Noted>,
+    pub(crate) plans: Vec<(Id, u64)>,
+    pub(crate) dead_pages: Vec<u32>,
     finals: Vec<Id>,
+    blocks: Vec<(u32, Vec<Id>)>,
     hires: Vec<String>,
     hires_dropped: Vec<String>,
+    orphans: Vec<String>,
     owned: bool,
     catalog: bool,
     unanswered: bool,
     asking: bool,
+    /// Keys that conflicted, while it is found out whether an earlier copy was carried out.
+    conflict: Vec<String>,
 }
 
 /// A transaction being put together, within the limits.
@@ -48,14 +60,20 @@
 }
 
 impl Txn0 {
+    /// Most bytes, with room for what frames the values.
+    const MOST_BYTES: usize = MAX_BODY * 7 / 8;
+
     /// Whether `writes` more changes with `conditions` more conditions and this much text fit in.
     fn takes(&self, writes: usize, conditions: usize, bytes: usize) -> bool {
         self.txn.writes.len() + writes <= self.ops
             && self.txn.conditions.len() + conditions <= self.ops * shaleshunt_wire::CONDITIONS_PER_WRITE
-            && (self.bytes + bytes <= MAX_BODY * 7 / 8 || self.txn.writes.is_empty())
+            && (self.bytes + bytes <= Self::MOST_BYTES || self.txn.writes.is_empty())
     }
-    fn set(&mut self, key: String, stamp: u64, v: serde_json::Value) {
-        self.bytes += v.to_string().len() + key.len() * 2 + 60;
+    fn full(&self) -> bool {
+        self.txn.writes.len() >= self.ops
+    }
+    fn set(&mut self, key: String, stamp: u64, v: serde_json::Value, bytes: usize) {
+        self.bytes += bytes + key.len() * 2 + 60;
         self.txn.conditions.push(Condition { path: key.clone(), stamp });
         self.txn.writes.push(Write::set(key, v));
     }
@@ -64,6 +82,51 @@
         self.txn.conditions.push(Condition { path: key.clone(), stamp });
         self.txn.writes.push(Write::drop_key(key));
     }
+    fn expect_job(&mut self, job: &Job) {
+        if self.jobs.insert(job.id.clone()) {
+            let path = format!("{}{}", keys::JOBS, job.id);
+            self.bytes += path.len() + 40;
+            self.txn.conditions.push(Condition { path, stamp: job.stamp });
+        }
+    }
+    /// A key that only the leader writes and that shows whether this was carried out.
+    fn marker(&self) -> Option<&str> {
+        let key = |w: &Write| match w {
+            Write::Set { set, .. } => Some(set.clone()),
+            Write::Drop { .. } => None,
+        };
+        let set = self.txn.writes.iter().filter_map(key).find(|k| !k.starts_with(keys::JOBS));
+        let path = |k: &str| self.txn.conditions.iter().map(|c| c.path.as_str()).find(|p| *p == k);
+        match set {
+            Some(k) => path(&k),
+            None => self.txn.writes.iter().find_map(|w| match w {
+                Write::Drop { drop } => Some(drop.as_str()),
+                Write::Set { .. } => None,
+            }),
+        }
+    }
+}
+
+impl Flight {
+    pub(crate) fn takes(&self, writes: usize, conditions: usize, bytes: usize) -> bool {
+        // The drafts are not among the writes yet, but they will be, with all their bytes.
+        let drafts = self.drafts.len();
+        let small = self.txn.bytes + bytes <= Txn0::MOST_BYTES;
+        (small || drafts == 0) && self.txn.takes(writes + drafts, conditions + drafts, bytes)
+    }
+    /// Bytes of the pages being put together.
+    pub(crate) fn drafted(&self) -> usize {
+        self.drafts.iter().map(Draft::bytes).sum()
+    }
+    pub(crate) fn set(&mut self, key: String, stamp: u64, v: serde_json::Value, bytes: usize) {
+        self.txn.set(key, stamp, v, bytes);
+    }
+    pub(crate) fn drop_key(&mut self, key: String, stamp: u64) {
+        self.txn.drop_key(key, stamp);
+    }
+    pub(crate) fn expect_job(&mut self, job: &Job) {
+        self.txn.expect_job(job);
+    }
 }
 
 impl Leader {
@@ -74,15 +137,19 @@
         let gained = now.saturating_sub(self.writes_at) as f64 / 1000.0 * rate;
         self.writes = (self.writes + gained).min(rate.max(1.0));
         self.writes_at = now;
-        if now < self.retry_commit_at {
+        if now < self.commit_at {
             return;
         }
         if let Some(flight) = &mut self.flight {
             if !flight.asking {
                 flight.asking = true;
-                let txn = flight.txn.txn.clone();
-                let wait = self.wait(LeadWait::Commit);
-                ctx.state(StateRequest::Txn(txn), wait);
+                // What has no answer yet may have been carried out.
+                let (request, wait) = match flight.txn.marker().filter(|_| flight.unanswered) {
+                    Some(key) => (StateRequest::Get { key: key.into() }, LeadWait::Settle),
+                    None => (StateRequest::Txn(flight.txn.txn.clone()), LeadWait::Commit),
+                };
+                let wait = self.wait(wait);
+                ctx.state(request, wait);
             }
             return;
         }
@@ -93,51 +160,48 @@
         let mut f = Flight { asking: true, ..Flight::default() };
         f.txn.ops = ops;
         f.txn.txn.conditions.push(Condition { path: keys::EPOCH.into(), stamp: self.stamp });
-        self.gather(ctx, &mut f);
+        self.gather(ctx, &mut f, rate);
         if f.txn.txn.writes.is_empty() {
             return;
         }
+        // What becomes due meanwhile shares the next one.
+        let gap = 1000.0 / (ctx.set.state_rps * ctx.tune.request_share).max(1.0);
+        let scarce = self.writes < rate / 4.0;
+        self.commit_at = now + if scarce { gap * 3.0 } else { gap } as u64;
         self.writes -= f.txn.txn.writes.len() as f64;
+        self.written = (self.written.0 + f.txn.txn.writes.len() as u32, self.written.1 + 1);
         let txn = f.txn.txn.clone();
         self.flight = Some(f);
         let wait = self.wait(LeadWait::Commit);
         ctx.state(StateRequest::Txn(txn), wait);
     }
 
-    fn gather(&mut self, ctx: &mut Ctx, f: &mut Flight) {
-        for (id, stamp) in &self.gone {
-            if *stamp > 0 && f.txn.takes(1, 1, 100) {
-                f.txn.drop_key(format!("{}{id}", keys::LOOMS), *stamp);
-                f.dropped.push(id.clone());
-            }
-        }
-        self.gone.retain(|_, stamp| *stamp > 0);
-        // Releases go before plans: a task's new placement is never recorded while an old one is.
-        self.gather_looms(f, false);
-        self.gather_outcomes(ctx, f);
-        self.gather_looms(f, true);
-        for (name, h) in &mut self.hires {
-            if h.writing || !f.txn.takes(1, 1, 300) {
-                continue;
+    fn gather(&mut self, ctx: &mut Ctx, f: &mut Flight, rate: f64) {
+        let now = ctx.now.mono;
+        self.gather_blocks(ctx, f);
+        self.gather_hires(f);
+        let due: Vec<(Reverse<_>, u64, Id)> = self.urgent.iter().take(f.txn.ops * 4).cloned().collect();
+        let mut refused = 0;
+        for key in due {
+            if refused >= 4 {
+                break;
             }
-            let key = format!("{}{name}", keys::HIRES);
-            if h.stamp == 0 && h.answer.is_none() {
-                f.txn.set(key, 0, json!(h.hire));
-                f.hires.push(name.clone());
-                h.writing = true;
-            } else if let Some(looms) = &h.answer
-                && looms.iter().all(|id| self.looms.get(id).is_none_or(|m| m.stamp > 0))
-            {
-                f.txn.drop_key(key, h.stamp);
-                f.hires_dropped.push(name.clone());
-                h.writing = true;
+            refused += 1;
+            if self.gather_job(ctx, f, &key.2) {
+                refused -= 1;
+                self.urgent.remove(&key);
+                if let Some(job) = self.jobs.get_mut(&key.2) {
+                    job.urgent = false;
+                }
             }
         }
         if self.owned_dirty
             && let Some(owned) = &self.owned
             && f.txn.takes(1, 1, owned.len() * 40)
         {
-            f.txn.set(keys::OWNED.into(), self.owned_stamp, json!(owned));
+            let v = json!(owned);
+            let bytes = v.to_string().len();
+            f.txn.set(keys::OWNED.into(), self.owned_stamp, v, bytes);
             f.owned = true;
             self.owned_dirty = false;
         }
@@ -145,128 +209,185 @@
             && let Some(catalog) = &ctx.catalog
             && f.txn.takes(1, 1, catalog.frames.len() * 300)
         {
-            f.txn.set(keys::CATALOG.into(), self.catalog_stamp.unwrap_or(0), json!(catalog));
+            let v = json!(catalog);
+            let bytes = v.to_string().len();
+            f.txn.set(keys::CATALOG.into(), self.catalog_stamp.unwrap_or(0), v, bytes);
             f.catalog = true;
             self.catalog_dirty = false;
         }
-    }
-
-    fn gather_looms(&mut self, f: &mut Flight, with_plans: bool) {
-        for id in self.looms.keys().cloned().collect::<Vec<Id>>() {
-            let Some(m) = self.looms.get(&id) else { continue };
-            if !m.dirty || m.writing || m.shift == 0 && m.stamp == 0 && m.owned {
-                continue;
-            }
-            let plans: Vec<&Placement> = m.places.iter().filter(|p| p.stage == Stage::Planned).collect();
-            if plans.is_empty() == with_plans {
-                continue;
+        // Outcomes go along with plans, or alone after a while.
+        let patience = if f.drafts.is_empty() { ctx.set.report_ms() / 4 } else { 0 };
+        while let Some((since, id)) = self.lazy.first().cloned() {
+            if now.saturating_sub(since) < patience || !self.gather_facts(ctx, f, &id) {
+                break;
             }
-            let jobs: BTreeSet<Id> = plans.iter().map(|p| p.job.clone()).collect();
-            // A new leader that found a task on two machines' records could start it on both. So a
-            // job's plans wait until no record outside this transaction names what was released.
-            let ours = |l: &Id| *l == id || f.looms.iter().any(|(w, _)| w == l);
-            let named = |l: &Id| {
-                (self.looms.get(l).is_some_and(|t| t.released) && !ours(l))
-                    || self.gone.contains_key(l) && !f.dropped.contains(l)
-            };
-            let blocked = jobs.iter().filter_map(|j| self.jobs.get(j)).any(|j| j.tails.iter().any(named));
-            if blocked {
-                // Two machines could wait for each other: the record goes out without the plans.
-                if m.released {
-                    let v = m.record(false);
-                    if f.txn.takes(1, 1, v.to_string().len()) {
-                        f.looms.push((id.clone(), Vec::new()));
-                        f.txn.set(format!("{}{id}", keys::LOOMS), m.stamp, v);
-                        if let Some(m) = self.looms.get_mut(&id) {
-                            m.released = false;
-                            m.writing = true;
-                        }
-                    }
-                }
-                continue;
+            self.lazy.pop_first();
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.waits_to_write = false;
             }
-            let new_jobs: Vec<Id> = jobs.into_iter().filter(|j| !f.txn.jobs.contains(j)).collect();
-            let v = m.record(true);
-            if !f.txn.takes(1, 1 + new_jobs.len(), v.to_string().len()) {
+        }
+        self.gather_pages(f);
+        // The rest takes what others leave: half of the budget stays free for what is urgent.
+        let spare = |f: &Flight, writes: f64| writes - f.txn.txn.writes.len() as f64 >= rate / 2.0;
+        if spare(f, self.writes) {
+            self.gather_dead_pages(f);
+            self.drain_page(now);
+        }
+        if !self.legacy.is_empty() && self.urgent.is_empty() && self.lazy.is_empty() && self.dirty_blocks.is_empty() {
+            self.orphans.append(&mut self.legacy);
+        }
+        while spare(f, self.writes) && !f.txn.full() {
+            let Some((key, stamp)) = self.orphans.pop_first() else { break };
+            f.txn.drop_key(key.clone(), stamp);
+            f.orphans.push(key);
+        }
+    }
+
+    fn gather_hires(&mut self, f: &mut Flight) {
+        for (name, h) in &mut self.hires {
+            if h.writing || !f.txn.takes(1, 1, 300) {
                 continue;
             }
-            f.looms.push((id.clone(), plans.iter().map(|p| p.slot).collect()));
-            f.txn.set(format!("{}{id}", keys::LOOMS), m.stamp, v);
-            for job in new_jobs {
-                let Some(j) = self.jobs.get(&job) else { continue };
-                let path = format!("{}{job}", keys::JOBS);
-                f.txn.txn.conditions.push(Condition { path, stamp: j.stamp });
-                f.txn.jobs.insert(job);
-            }
-            if let Some(m) = self.looms.get_mut(&id) {
-                m.dirty = false;
-                m.released = false;
-                m.writing = true;
+            let key = format!("{}{name}", keys::HIRES);
+            if h.stamp == 0 && h.answer.is_none() {
+                f.txn.set(key, 0, json!(h.hire), 200);
+                f.hires.push(name.clone());
+                h.writing = true;
+            } else if let Some(looms) = &h.answer
+                && looms.iter().all(|id| self.looms.get(id).is_none_or(|m| m.recorded))
+            {
+                f.txn.drop_key(key, h.stamp);
+                f.hires_dropped.push(name.clone());
+                h.writing = true;
             }
         }
     }
 
-    fn gather_outcomes(&mut self, ctx: &Ctx, f: &mut Flight) {
-        let per_chunk = ctx.set.chunk_pieces();
-        for id in self.changed_jobs.clone() {
-            let Some(job) = self.jobs.get(&id) else {
-                self.changed_jobs.remove(&id);
-                continue;
+    /// Puts a machine into a block of its zone.
+    pub(crate) fn join_block(&mut self, ctx: &Ctx, id: &Id) {
+        let Some(m) = self.looms.get_mut(id) else { return };
+        if m.block.is_some() {
+            return;
+        }
+        let most = ctx.set.block_looms();
+        let fits = |b: &Block| b.hall == m.hall && b.owned == m.owned && b.looms.len() < most;
+        let found = self.blocks.iter().rev().find(|(_, b)| fits(b)).map(|(n, _)| *n);
+        let n = found.unwrap_or_else(|| self.blocks.last_key_value().map_or(1, |(n, _)| n + 1));
+        let block = self.blocks.entry(n).or_default();
+        (block.hall, block.owned) = (m.hall.clone(), m.owned);
+        block.looms.insert(id.clone());
+        block.dirty = true;
+        m.block = Some(n);
+        self.dirty_blocks.insert(n);
+    }
+
+    fn block_record(&self, n: u32, most: usize) -> Option<(serde_json::Value, usize, Vec<Id>)> {
+        let b = self.blocks.get(&n)?;
+        let mut rec = BlockRecord { z: b.hall.clone(), ..BlockRecord::default() };
+        let mut index: std::collections::BTreeMap<u32, u32> = std::collections::BTreeMap::new();
+        let mut members = Vec::new();
+        for id in &b.looms {
+            let Some(m) = self.looms.get(id) else { continue };
+            let mut images = Vec::new();
+            for (image, gb) in &m.images {
+                let at = *index.entry(*image).or_insert_with(|| {
+                    let name = self.image_names.get(*image as usize).cloned().unwrap_or_default();
+                    rec.i.push((name, *gb));
+                    rec.i.len() as u32 - 1
+                });
+                images.push(at);
+            }
+            let one = LoomRecord {
+                f: m.frame.clone(),
+                b: m.borrowed,
+                o: m.owned,
+                e: m.endpoint.clone(),
+                s: m.shift,
+                t: m.hired,
+                i: images,
             };
-            if job.stale {
-                continue;
+            rec.m.insert(id.to_string(), one);
+            members.push(id.clone());
+        }
+        let mut v = json!(rec);
+        let mut bytes = v.to_string().len();
+        if bytes > most {
+            // Images are only a help.
+            rec.i.clear();
+            rec.m.values_mut().for_each(|m| m.i.clear());
+            v = json!(rec);
+            bytes = v.to_string().len();
+        }
+        Some((v, bytes, members))
+    }
+
+    fn gather_blocks(&mut self, ctx: &Ctx, f: &mut Flight) {
+        let now = ctx.now.mono;
+        // Images change all the time: each block is written anew now and then.
+        let lease = (ctx.set.lease_s * 1000.0) as u64;
+        if self.dirty_blocks.is_empty()
+            && self.writes >= ctx.set.state_write_rps * ctx.tune.write_share / 2.0
+            && let Some((n, _)) = self.blocks.iter().find(|(_, b)| now.saturating_sub(b.wrote) > lease * 2)
+        {
+            let n = *n;
+            self.dirty_blocks.insert(n);
+        }
+        for n in self.dirty_blocks.clone() {
+            if f.txn.full() {
+                break;
             }
-            let path = format!("{}{id}", keys::JOBS);
-            if job.complete() || job.aborted {
-                // A cancelled job ends only when no record names a placement of it, so that a new
-                // leader knows what a recorded placement takes for as long as it may be there.
-                let recorded =
-                    |id: &Id| self.gone.contains_key(id) || self.looms.get(id).is_some_and(|m| m.dirty || m.writing);
-                if job.aborted && (!job.live.is_empty() || job.tails.iter().any(recorded)) {
-                    continue;
-                }
-                let n = job.chunks.len();
-                if !f.txn.takes(2 + n, 2 + n, 300) {
-                    continue;
+            let Some(b) = self.blocks.get(&n) else { continue };
+            let (key, stamp) = (format!("{}{n}", keys::BLOCKS), b.stamp);
+            if b.looms.is_empty() {
+                if stamp > 0 && f.txn.takes(1, 1, 100) {
+                    f.txn.drop_key(key, stamp);
+                    f.blocks.push((n, Vec::new()));
+                    self.dirty_blocks.remove(&n);
+                } else if stamp == 0 {
+                    self.blocks.remove(&n);
+                    self.dirty_blocks.remove(&n);
                 }
-                let is_new = f.txn.jobs.insert(id.clone());
-                if is_new {
-                    f.txn.drop_key(path, job.stamp);
-                } else {
-                    f.txn.txn.writes.push(Write::drop_key(path));
-                }
-                let rec = FinalRecord { x: job.aborted, n: job.spec.pieces };
-                f.txn.set(format!("{}{id}", keys::FINALS), 0, json!(rec));
-                for (&chunk, &stamp) in &job.chunks {
-                    f.txn.drop_key(job.chunk_key(chunk), stamp);
-                }
-                f.finals.push(id.clone());
-                self.changed_jobs.remove(&id);
                 continue;
             }
-            let mut chunks: Vec<(u32, Vec<u32>)> = Vec::new();
-            for &piece in &job.uncommitted {
-                match chunks.last_mut() {
-                    Some((c, list)) if *c == piece / per_chunk => list.push(piece),
-                    _ => chunks.push((piece / per_chunk, vec![piece])),
-                }
-            }
-            let mut all = true;
-            for (chunk, pieces) in chunks {
-                let text = job.done.encode(chunk * per_chunk, per_chunk);
-                if f.txn.takes(1, 1, text.len()) {
-                    f.txn.set(job.chunk_key(chunk), job.chunks.get(&chunk).copied().unwrap_or(0), json!(text));
-                    f.chunks.push((id.clone(), chunk, pieces));
-                } else {
-                    all = false;
-                }
+            let Some((v, bytes, members)) = self.block_record(n, ctx.set.value_bytes()) else { continue };
+            if !f.txn.takes(1, 1, bytes) {
+                continue;
             }
-            if all {
-                self.changed_jobs.remove(&id);
+            f.txn.set(key, stamp, v, bytes);
+            f.blocks.push((n, members));
+            self.dirty_blocks.remove(&n);
+            if let Some(b) = self.blocks.get_mut(&n) {
+                b.wrote = now;
             }
         }
     }
 
+    /// Puts a job's end or its facts into the transaction; whether nothing is left to write at once.
+    fn gather_job(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
+        let Some(job) = self.jobs.get_mut(id) else { return true };
+        // It comes back when its record has been read again.
+        if job.stale || f.finals.contains(id) {
+            return true;
+        }
+        if !job.over() {
+            return self.gather_facts(ctx, f, id);
+        }
+        // It ends when every placement of it has been proven gone.
+        if !f.takes(2, 2, 300 + f.drafted()) {
+            return false;
+        }
+        let path = format!("{}{id}", keys::JOBS);
+        if f.txn.jobs.insert(id.clone()) {
+            f.txn.drop_key(path, job.stamp);
+        } else {
+            f.txn.txn.writes.push(Write::drop_key(path));
+        }
+        let rec = FinalRecord { x: job.aborted, n: job.spec.pieces };
+        f.txn.set(format!("{}{id}", keys::FINALS), 0, json!(rec), 30);
+        f.finals.push(id.clone());
+        true
+    }
+
     /// The transaction under way was answered, or not.
     pub(crate) fn committed(&mut self, ctx: &mut Ctx, result: Result<StateReply, IoError>) {
         let Some(mut f) = self.flight.take() else { return };
@@ -277,14 +398,23 @@
             Ok(StateReply::Conflict(failed)) => {
                 if failed.iter().any(|k| k == keys::EPOCH) {
                     self.down = Some("a newer epoch has begun");
-                } else if f.unanswered || !failed.iter().all(|k| k.starts_with(keys::JOBS)) {
-                    self.down = Some("a transaction's fate is unknown");
+                } else if f.unanswered {
+                    // An earlier copy of it may have been carried out after all.
+                    f.asking = true;
+                    if let Some(key) = f.txn.marker() {
+                        let wait = self.wait(LeadWait::Settle);
+                        ctx.state(StateRequest::Get { key: key.into() }, wait);
+                    }
+                    f.conflict = failed;
+                    self.flight = Some(f);
+                } else if !failed.iter().all(|k| k.starts_with(keys::JOBS)) {
+                    self.down = Some("somebody else writes the leader's keys");
                 } else {
                     self.failed(ctx, f, &failed);
                 }
             }
             Err(IoError::NotSent | IoError::Refused | IoError::Throttled) => {
-                self.retry_commit_at = ctx.now.mono + pause;
+                self.commit_at = ctx.now.mono + pause;
                 self.flight = Some(f);
             }
             Err(IoError::Rejected(why)) => {
@@ -293,40 +423,101 @@
             }
             _ => {
                 f.unanswered = true;
-                self.retry_commit_at = ctx.now.mono + pause;
+                self.commit_at = ctx.now.mono + pause;
                 self.flight = Some(f);
             }
         }
     }
 
-    fn succeeded(&mut self, ctx: &mut Ctx, f: Flight, ledger: u64) {
-        for (id, slots) in f.looms {
-            if let Some(stamp) = self.gone.get_mut(&id) {
-                *stamp = ledger;
+    /// A key that an unanswered transaction writes has been read.
+    pub(crate) fn settle(&mut self, ctx: &mut Ctx, result: Result<StateReply, IoError>) {
+        let Some(f) = &mut self.flight else { return };
+        let Some(key) = f.txn.marker().map(str::to_string) else { return };
+        let stamp = match &result {
+            Ok(StateReply::Found(pair)) => pair.stamp,
+            Ok(StateReply::Missing) => 0,
+            _ => {
+                f.asking = false;
+                self.commit_at = ctx.now.mono + ctx.set.report_ms() / 60;
+                return;
             }
-            let Some(m) = self.looms.get_mut(&id) else { continue };
-            m.stamp = ledger;
-            m.writing = false;
-            for p in m.places.iter_mut().filter(|p| p.stage == Stage::Planned && slots.contains(&p.slot)) {
-                p.stage = Stage::Committed;
-                m.push = true;
+        };
+        let before = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
+        if stamp == before {
+            let conflict = std::mem::take(&mut f.conflict);
+            if conflict.is_empty() {
+                // Not carried out so far: once more. Whichever copy comes first counts.
+                let wait = Wait::Lead(self.epoch, LeadWait::Commit);
+                let txn = f.txn.txn.clone();
+                ctx.state(StateRequest::Txn(txn), wait);
+            } else if conflict.iter().all(|k| k.starts_with(keys::JOBS)) {
+                if let Some(f) = self.flight.take() {
+                    self.failed(ctx, f, &conflict);
+                }
+            } else {
+                self.down = Some("somebody else writes the leader's keys");
             }
+            return;
         }
-        for id in f.dropped {
-            self.gone.remove(&id);
-        }
-        for (id, chunk, pieces) in f.chunks {
-            if let Some(job) = self.jobs.get_mut(&id) {
-                job.chunks.insert(chunk, ledger);
-                for piece in pieces {
-                    job.uncommitted.remove(&piece);
+        // Changed: by us, if the epoch is still ours.
+        let conditions =
+            vec![Condition { path: keys::EPOCH.into(), stamp: self.stamp }, Condition { path: key, stamp }];
+        let wait = self.wait(LeadWait::Settled(stamp));
+        ctx.state(StateRequest::Txn(Txn { conditions, writes: Vec::new() }), wait);
+    }
+
+    /// Whether the key that was read and the epoch held at the same time.
+    pub(crate) fn settled(&mut self, ctx: &mut Ctx, stamp: u64, result: Result<StateReply, IoError>) {
+        match result {
+            Ok(StateReply::Committed(_)) => {
+                if let Some(f) = self.flight.take() {
+                    self.succeeded(ctx, f, stamp);
                 }
             }
+            Ok(StateReply::Conflict(_)) => self.down = Some("a newer epoch has begun"),
+            _ => {
+                if let Some(f) = &mut self.flight {
+                    f.asking = false;
+                }
+                self.commit_at = ctx.now.mono + ctx.set.report_ms() / 60;
+            }
+        }
+    }
+
+    fn succeeded(&mut self, ctx: &mut Ctx, f: Flight, ledger: u64) {
+        self.pages_stored(f.pages, f.noted, f.dead_pages, ledger);
+        for (loom, slot) in f.plans {
+            let Some(m) = self.looms.get_mut(&loom) else { continue };
+            let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
+            p.stage = Stage::Committed;
+            if let Some(job) = self.jobs.get_mut(&p.job)
+                && let Some(l) = job.live.get_mut(&p.piece).and_then(|l| l.iter_mut().find(|l| l.slot == slot))
+            {
+                l.planned = false;
+            }
+            self.push.insert(loom);
         }
         for id in f.finals {
             if let Some(job) = self.jobs.remove(&id) {
                 let how = if job.aborted { "cancelled" } else { "done" };
                 ctx.log(Severity::Debug, format!("job {id} {how}"));
+                self.forget_facts(&job);
+                self.ranks_old = true;
+            }
+        }
+        for (n, members) in f.blocks {
+            if members.is_empty() && self.blocks.get(&n).is_some_and(|b| b.looms.is_empty()) {
+                self.blocks.remove(&n);
+                continue;
+            }
+            if let Some(b) = self.blocks.get_mut(&n) {
+                b.stamp = if members.is_empty() { 0 } else { ledger };
+            }
+            for id in members {
+                if let Some(m) = self.looms.get_mut(&id) {
+                    self.replan |= !m.recorded;
+                    m.recorded = true;
+                }
             }
         }
         for name in f.hires {
@@ -348,6 +539,7 @@
 
     /// Nothing was changed: some jobs' records are newer than known. Their plans are given up.
     fn failed(&mut self, ctx: &mut Ctx, f: Flight, failed: &[String]) {
+        let now = ctx.now.mono;
         let stale: Vec<Id> = failed.iter().map(|k| Id::from(&k[keys::JOBS.len()..])).collect();
         for id in &stale {
             if let Some(job) = self.jobs.get_mut(id) {
@@ -355,31 +547,53 @@
                 self.refresh(ctx, id.clone());
             }
         }
-        for (id, slots) in f.looms {
-            let Some(m) = self.looms.get_mut(&id) else { continue };
-            m.writing = false;
-            m.dirty = true;
-            m.released = true;
-            let void: Vec<u64> = m
-                .places
-                .iter()
-                .filter(|p| p.stage == Stage::Planned && slots.contains(&p.slot) && stale.contains(&p.job))
-                .map(|p| p.slot)
-                .collect();
-            for slot in void {
-                self.release(ctx.now.mono, &id, slot, false);
+        for (loom, slot) in f.plans {
+            let place = self.looms.get(&loom).and_then(|m| m.places.iter().find(|p| p.slot == slot));
+            if let Some(job) = place.filter(|p| p.stage == Stage::Planned && stale.contains(&p.job)).map(|p| &p.job) {
+                let job = job.clone();
+                self.release(now, &loom, slot, false);
+                self.queue_write(now, &job);
             }
         }
-        for (id, _, _) in f.chunks {
-            self.changed_jobs.insert(id);
+        for n in f.noted {
+            if let Some(job) = self.jobs.get_mut(&n.job) {
+                job.urgent = true;
+            }
+            self.queue_write(now, &n.job);
         }
-        self.changed_jobs.extend(f.finals);
+        for id in f.finals {
+            self.queue_write(now, &id);
+        }
+        self.dirty_blocks.extend(f.blocks.iter().map(|(n, _)| *n));
         for name in f.hires.iter().chain(&f.hires_dropped) {
             if let Some(h) = self.hires.get_mut(name) {
                 h.writing = false;
             }
         }
+        for key in f.orphans {
+            let stamp = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
+            self.orphans.insert(key, stamp);
+        }
         self.owned_dirty |= f.owned;
         self.catalog_dirty |= f.catalog;
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A first try counted only what was in the transaction already, not the pages still being put
+    /// together: hundreds of jobs at once made one larger than the state service takes, and that
+    /// was sent again for ever.
+    #[test]
+    fn pages_being_put_together_count_against_the_limit() {
+        let mut f = Flight::default();
+        f.txn.ops = 24;
+        assert!(f.takes(1, 2, MAX_BODY * 2), "what is too large for all goes alone");
+        f.drafts.push(Draft::default());
+        assert!(f.takes(1, 2, Txn0::MOST_BYTES));
+        assert!(!f.takes(1, 2, Txn0::MOST_BYTES + 1));
+        assert!(!f.takes(24, 2, 100), "the draft is a write too");
+    }
+}
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -9,7 +9,7 @@
 use crate::model::*;
 use crate::node::Ctx;
 use shaleshunt_wire::worker::*;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 /// Most commands in one message, so that no line grows too long.
 const MAX_ORDERS: usize = 300;
@@ -32,32 +32,49 @@
         ctx.answer(id, Answer::Report(ReportReply { baton, orders }));
     }
 
+    /// A machine nobody expected: a hire carried out late, perhaps. It is adopted. But its report
+    /// may be a late copy from a machine long returned, so it gets no tasks before it has heard us.
+    fn adopt(&mut self, ctx: &mut Ctx, loom: &Id, r: &Report) {
+        let owned = self.owned.as_ref().is_some_and(|o| o.contains(&r.loom));
+        let mut m = self.new_loom(ctx, loom, &r.frame, &r.hall, r.borrowed, owned);
+        m.deaf = if self.owned.is_some() && !owned { u32::MAX / 2 } else { 0 };
+        self.looms.insert(loom.clone(), m);
+        self.confirm.push_back(loom.clone());
+        ctx.log(Severity::Debug, format!("machine {loom} reports"));
+    }
+
     /// Takes in a report; false if it is older than one already seen.
     fn report(&mut self, ctx: &mut Ctx, loom: &Id, r: Report, checkin: bool) -> bool {
         let now = ctx.now.mono;
         if !self.looms.contains_key(loom) {
-            // Nobody expected it: a hire carried out late, perhaps. It is adopted.
-            let owned = self.owned.as_ref().is_some_and(|o| o.contains(&r.loom));
-            let m = self.new_loom(ctx, loom, &r.frame, &r.hall, r.borrowed, owned);
-            self.gone.remove(loom);
-            self.looms.insert(loom.clone(), m);
-            ctx.log(Severity::Info, format!("machine {loom} reports"));
-            self.replan = true;
+            self.adopt(ctx, loom, &r);
         }
         let token = self.looms.get(loom).map_or(0, |m| self.token(m));
+        let epoch = self.epoch;
         let Some(m) = self.looms.get_mut(loom) else { return false };
         if m.heard.is_some() && (r.shift, r.tick) <= m.last || r.shift < m.shift {
             return false;
         }
-        if m.heard.is_none() {
-            self.replan = true;
-        }
-        if !m.answers(now, &ctx.set) {
+        if m.heard.is_none() || !m.answers(now, &ctx.set) {
             self.replan = true;
         }
         m.last = (r.shift, r.tick);
         m.heard = Some(now);
-        m.endpoint = r.endpoint;
+        if m.hall.is_empty() {
+            // Known so far only by a record of a placement.
+            (m.frame, m.hall, m.borrowed) = (r.frame, r.hall, r.borrowed);
+            m.room = Default::default();
+            for p in &m.places {
+                if let Some(j) = self.jobs.get_mut(&p.job) {
+                    *j.zones.entry(m.hall.clone()).or_default() += 1;
+                    let unknown = j.zones.entry(String::new()).or_default();
+                    *unknown = unknown.saturating_sub(1);
+                }
+            }
+        }
+        if m.endpoint != r.endpoint {
+            m.endpoint = r.endpoint;
+        }
         if m.room == Default::default()
             && let Some(f) = ctx.catalog.as_ref().and_then(|c| c.frame(&m.frame))
         {
@@ -67,55 +84,74 @@
         match r.warn_s {
             Some(s) if m.warned.is_none() => {
                 m.warned = Some(now + (s.max(0.0) * 1000.0) as u64);
-                ctx.log(Severity::Info, format!("machine {loom} is taken away in {s} s"));
+                ctx.log(Severity::Debug, format!("machine {loom} is taken away in {s} s"));
             }
             Some(_) => {}
             None => m.warned = None,
         }
-        let mut lost = Vec::new();
-        if r.shift > m.shift {
-            // Its lease ran out: whatever was placed in an earlier session is gone, and commands
-            // for that session no longer count.
-            lost = m.places.iter().map(|p| p.slot).collect();
-            m.shift = r.shift;
-        }
+        // In a newer session whatever was placed in an earlier one is gone, and commands for that
+        // session no longer count.
+        m.shift = r.shift;
+        let lost: Vec<u64> = m.places.iter().filter(|p| p.shift < r.shift).map(|p| p.slot).collect();
         let current = r.baton >= token;
-        m.ours |= current;
-        if current && r.baton >> crate::leader::TOKEN_BITS > self.epoch {
+        if current && !m.ours {
+            m.ours = true;
+            m.deaf = 0;
+            self.replan = true;
+        }
+        if current && r.baton >> crate::leader::TOKEN_BITS > epoch {
             self.down = Some("a worker has seen a newer token");
         }
         // A direct call's report may be older than the answer to the last check-in, which may still
         // start tasks. The next check-in settles that: a worker has one under way at a time.
-        if checkin {
-            m.answer_open = false;
-        }
+        let answered = checkin && std::mem::take(&mut m.answer_open);
         let open = m.call.is_some() || m.answer_open;
         let local_gb = ctx.catalog.as_ref().and_then(|c| c.frame(&m.frame)).map_or(0.0, |f| f.local_gb);
-        let mut seen: BTreeMap<(String, u64), (PieceStatus, Option<Cause>)> = BTreeMap::new();
-        for p in r.pieces {
-            seen.insert((p.piece, p.attempt), (p.status, p.cause));
+        let mut seen: Vec<(&str, u32, u64, &PieceReport, bool)> = Vec::with_capacity(r.pieces.len());
+        let mut strangers = Vec::new();
+        for p in &r.pieces {
+            match split_piece(&p.piece) {
+                Some((job, n)) => seen.push((job, n, p.attempt, p, false)),
+                None => strangers.push((p.piece.clone(), p.attempt, exit_cause(p.status, p.cause))),
+            }
         }
+        seen.sort_unstable_by_key(|s| (s.0, s.1, s.2));
         let mut ended: Vec<(u64, Cause)> = Vec::new();
         let mut absent: Vec<u64> = Vec::new();
-        let mut images: Vec<(String, f64)> = Vec::new();
-        for p in m.places.iter_mut().filter(|p| !lost.contains(&p.slot)) {
-            match seen.remove(&(format!("{}/{}", p.job, p.piece), p.attempt)) {
-                Some((PieceStatus::Exited, cause)) if current => {
-                    ended.push((p.slot, cause.unwrap_or(Cause::Unknown)));
+        let mut images: Vec<(u32, f64)> = Vec::new();
+        let (mut heard_us, mut unheard, mut again) = (false, false, false);
+        for p in m.places.iter_mut().filter(|p| p.shift >= r.shift) {
+            let at = seen.binary_search_by(|s| (s.0, s.1, s.2).cmp(&(&*p.job, p.piece, p.attempt)));
+            let shown = at.ok().and_then(|i| seen.get_mut(i)).map(|s| {
+                s.4 = true;
+                (s.3.status, s.3.cause)
+            });
+            match shown {
+                Some((PieceStatus::Exited, cause)) => {
+                    heard_us |= p.stage == Stage::Committed;
+                    if current {
+                        ended.push((p.slot, cause.unwrap_or(Cause::Unknown)));
+                    }
                 }
-                Some((PieceStatus::Exited, _)) => {}
                 Some((status, _)) => {
+                    heard_us |= p.stage == Stage::Committed;
                     p.sent = true;
+                    let was = matches!(p.stage, Stage::Running | Stage::Flushing);
                     p.stage = match status {
                         PieceStatus::Fetching | PieceStatus::Gathering => Stage::Fetching,
                         PieceStatus::Flushing => Stage::Flushing,
                         _ => Stage::Running,
                     };
+                    let runs = matches!(p.stage, Stage::Running | Stage::Flushing);
+                    if let Some(j) = self.jobs.get_mut(&p.job).filter(|_| was != runs) {
+                        j.begun |= runs;
+                        j.running = if runs { j.running + 1 } else { j.running.saturating_sub(1) };
+                        if runs && p.running.is_none() {
+                            images.push((j.image, j.spec.image_gb));
+                        }
+                    }
                     if p.stage == Stage::Running && p.running.is_none() {
                         p.running = Some(now);
-                        if let Some(j) = self.jobs.get(&p.job) {
-                            images.push((j.spec.bundle.clone(), j.spec.image_gb));
-                        }
                     }
                 }
                 None if current && !open && p.stage != Stage::Planned => {
@@ -124,6 +160,8 @@
                     if p.halt.is_some() || p.stage != Stage::Committed {
                         absent.push(p.slot);
                     } else {
+                        unheard |= p.sent && answered;
+                        again |= p.sent;
                         p.sent = false;
                     }
                 }
@@ -131,16 +169,23 @@
             }
         }
         for (bundle, gb) in images {
-            m.touch_image(&bundle, gb, local_gb);
-        }
-        m.strangers = seen
-            .into_iter()
-            .map(|((piece, attempt), (status, cause))| {
-                let cause = (status == PieceStatus::Exited).then_some(cause.unwrap_or(Cause::Unknown));
-                (piece, attempt, cause)
-            })
-            .collect();
-        let warned = m.warned;
+            m.touch_image(bundle, gb, local_gb);
+        }
+        if heard_us {
+            m.deaf = 0;
+        } else if unheard {
+            m.deaf = m.deaf.saturating_add(1);
+        }
+        if again {
+            self.push.insert(loom.clone());
+        }
+        let strange = seen.iter().filter(|s| !s.4).map(|s| s.3);
+        strangers.extend(strange.map(|p| (p.piece.clone(), p.attempt, exit_cause(p.status, p.cause))));
+        m.strangers = strangers;
+        let (warned, known) = (m.warned.is_some(), m.block.is_some());
+        if !known {
+            self.join_block(ctx, loom);
+        }
         for slot in lost {
             self.release(now, loom, slot, false);
         }
@@ -150,7 +195,7 @@
         for (slot, cause) in ended {
             self.ended(ctx, loom, slot, cause);
         }
-        if warned.is_some() {
+        if warned {
             self.drain(ctx, loom);
         }
         true
@@ -169,7 +214,6 @@
             Cause::Done if !job.is_service() => {
                 job.mark_done(p.piece);
                 job.failures = 0;
-                self.changed_jobs.insert(p.job.clone());
                 let expected = job.spec.expect_s;
                 if let (Some(start), true) = (p.running, expected > 0.0) {
                     let ran = now.saturating_sub(start) as f64 / 1000.0;
@@ -181,6 +225,7 @@
                     m.failures.clear();
                     m.sick_times = 0;
                 }
+                self.touch(now, &p.job, p.piece, false);
             }
             Cause::Done | Cause::Error | Cause::NoSuch | Cause::Unknown => {
                 ctx.log(Severity::Debug, format!("task {name} failed on {loom}: {cause:?}"));
@@ -214,8 +259,8 @@
             let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.slot == slot));
             place.is_some_and(|p| p.running.is_some_and(|r| now - r > long))
         };
-        let does_well =
-            j.done_count > 0 || j.is_service() && j.live.values().flatten().any(|(l, a)| l != loom && steady(l, *a));
+        let does_well = j.done_count > 0
+            || j.is_service() && j.live.values().flatten().any(|l| l.loom != *loom && steady(&l.loom, l.slot));
         let broken = (j.failed_on.len() >= 3 || j.failures >= 6) && !does_well;
         if broken {
             let wait = ctx.tune.sick_s * 1000.0 / 8.0 * f64::from(1u32 << (j.failures.min(8) - 3).min(4));
@@ -261,6 +306,9 @@
                 (Some(_), Stage::Committed) => {
                     halts.push(Order::Halt { piece: piece(), attempt: p.attempt, wind_down_s: 0.0 });
                 }
+                // A direct call repeats nothing: what was lost shows in a report. An answer follows
+                // a report that lacks it.
+                (None, Stage::Committed) if p.sent && !answering => {}
                 (None, Stage::Committed) => {
                     p.sent = true;
                     runs.push(Order::Run { piece: piece(), attempt: p.attempt });
@@ -268,7 +316,7 @@
                 (None, _) => {}
             }
         }
-        let settled = answering && m.call.is_none() && !m.dirty && !m.writing;
+        let settled = answering && m.call.is_none();
         for (piece, attempt, cause) in &m.strangers {
             let (piece, attempt) = (piece.clone(), *attempt);
             match cause {
@@ -277,7 +325,7 @@
                 Some(_) if settled => {
                     // Only after its outcome is committed.
                     let open = split_piece(&piece)
-                        .is_some_and(|(job, n)| self.jobs.get(job).is_some_and(|j| j.uncommitted.contains(&n)));
+                        .is_some_and(|(job, n)| self.jobs.get(job).is_some_and(|j| j.pending.contains_key(&n)));
                     if !open {
                         runs.push(Order::Forget { piece, attempt });
                     }
@@ -290,34 +338,61 @@
         halts
     }
 
-    /// Sends urgent commands straight to machines.
+    /// Sends urgent commands straight to machines, and asks some that have not shown our token to
+    /// confirm it.
     pub(crate) fn push_orders(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
-        let due: Vec<Id> = self
-            .looms
-            .values()
-            .filter(|m| m.push && m.call.is_none() && now >= m.call_after && !m.endpoint.is_empty() && m.shift > 0)
-            .map(|m| m.id.clone())
-            .collect();
-        for id in due {
-            let orders = self.orders_for(&id, false);
+        while let Some((at, id)) = self.push_later.first().cloned() {
+            if at > now {
+                break;
+            }
+            self.push_later.pop_first();
+            self.push.insert(id);
+        }
+        for id in std::mem::take(&mut self.push) {
             let Some(m) = self.looms.get_mut(&id) else { continue };
-            m.push = false;
-            // With nothing to say it is asked only to confirm the token.
-            if orders.is_empty() && m.ours {
-                continue;
+            if m.call.is_some() {
+                m.push = true;
+            } else if now < m.call_after {
+                self.push_later.insert((m.call_after, id));
+            } else if !m.endpoint.is_empty() && m.shift > 0 {
+                self.call(ctx, &id, false);
             }
-            let baton = (self.epoch << crate::leader::TOKEN_BITS) + m.bump;
-            let body = Orders { baton, shift: m.shift, orders };
-            let to = m.endpoint.clone();
-            let wait = self.wait(LeadWait::Orders(id.clone()));
-            let call = ctx.orders(to, body, wait);
-            if let Some(m) = self.looms.get_mut(&id) {
-                m.call = Some(call);
+        }
+        // A confirmation changes nothing at the machine, so its fate need not be known; but each
+        // costs time here, and most machines report within an interval anyway.
+        let most = (ctx.set.state_rps / 4.0).max(1.0) as u32;
+        while self.confirming < most {
+            let Some(id) = self.confirm.pop_front() else { break };
+            let open = |m: &Loom| !m.ours && m.call.is_none() && !m.endpoint.is_empty() && m.shift > 0;
+            if self.looms.get(&id).is_some_and(open) {
+                self.call(ctx, &id, true);
             }
         }
     }
 
+    fn call(&mut self, ctx: &mut Ctx, id: &Id, confirms: bool) {
+        let orders = self.orders_for(id, false);
+        let Some(m) = self.looms.get_mut(id) else { return };
+        m.push = false;
+        // With nothing to say it is asked only to confirm the token.
+        if orders.is_empty() && m.ours && m.deaf == 0 {
+            return;
+        }
+        let baton = (self.epoch << crate::leader::TOKEN_BITS) + m.bump;
+        let risky = !orders.is_empty();
+        let body = Orders { baton, shift: m.shift, orders };
+        let to = m.endpoint.clone();
+        let wait = self.wait(LeadWait::Orders(id.clone()));
+        let call = ctx.orders(to, body, wait);
+        if let Some(m) = self.looms.get_mut(id) {
+            m.call = Some(call);
+            m.confirms = confirms;
+            m.risky = risky;
+            self.confirming += u32::from(confirms);
+        }
+    }
+
     pub(crate) fn orders_answer(
         &mut self,
         ctx: &mut Ctx,
@@ -325,34 +400,41 @@
         call: RequestId,
         result: Result<OrdersReply, IoError>,
     ) {
+        let now = ctx.now.mono;
         let Some(m) = self.looms.get_mut(loom) else { return };
         if m.call != Some(call) {
             return;
         }
         m.call = None;
+        self.confirming -= u32::from(std::mem::take(&mut m.confirms));
+        let mut again = std::mem::take(&mut m.push);
         match result {
             Ok(OrdersReply::Executed(r)) | Ok(OrdersReply::Outdated(r)) => {
                 if r.loom == **loom {
+                    m.deaf = 0;
                     self.report(ctx, loom, r, false);
-                    if let Some(m) = self.looms.get_mut(loom) {
+                    if let Some(m) = self.looms.get(loom) {
                         // What came up meanwhile.
-                        m.push |= m.places.iter().any(|p| p.stage == Stage::Committed && !p.sent);
+                        again |= m.places.iter().any(|p| p.stage == Stage::Committed && !p.sent);
                     }
                 }
             }
-            Err(IoError::NotSent) => {
-                m.call_after = ctx.now.mono + ctx.set.report_ms() / 3;
-                m.push = true;
-            }
-            Err(_) => {
-                // It may be executed minutes later. A higher token makes the machine refuse it;
-                // until a report confirms that token, nothing here is released or forgotten.
-                m.bump += 1;
-                m.call_after = ctx.now.mono + ctx.set.report_ms() / 3;
-                m.push = true;
-                m.ours = false;
+            Err(e) => {
+                m.deaf = m.deaf.saturating_add(1);
+                let pause = ctx.set.report_ms() / 3 * u64::from(1u32 << (m.deaf - 1).min(3));
+                m.call_after = now + pause;
+                again = true;
+                if e != IoError::NotSent && m.risky {
+                    // It may be executed minutes later. A higher token makes the machine refuse it;
+                    // until a report confirms that token, nothing here is released or forgotten.
+                    m.bump += 1;
+                    m.ours = false;
+                }
             }
         }
+        if again {
+            self.push.insert(loom.clone());
+        }
     }
 
     /// A machine that is going away: what cannot finish in time is stopped, to go on elsewhere.
@@ -371,7 +453,7 @@
             if job.is_service() || rest > left {
                 let wind = if job.spec.mark_every_s > 0.0 { job.spec.mark_takes_s } else { 0.0 };
                 p.halt = Some(wind);
-                m.push = true;
+                self.push.insert(loom.clone());
             }
         }
     }
@@ -403,3 +485,8 @@
         }
     }
 }
+
+/// Why a task ended, if it has.
+fn exit_cause(status: PieceStatus, cause: Option<Cause>) -> Option<Cause> {
+    (status == PieceStatus::Exited).then_some(cause.unwrap_or(Cause::Unknown))
+}
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -5,10 +5,13 @@
 use crate::io::*;
 use crate::model::*;
 use crate::node::{Ctx, Wait};
+use crate::pages::Pages;
 use serde_json::Value;
 use shaleshunt_wire::Room;
 use shaleshunt_wire::state::{Change, Page, Pair};
-use std::collections::{BTreeMap, BTreeSet};
+use shaleshunt_wire::user::Urgency;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 /// Bits of a token below the epoch: a machine's own counter.
 pub(crate) const TOKEN_BITS: u32 = 20;
@@ -16,7 +19,7 @@
 const ATTEMPT_BITS: u32 = 28;
 
 /// Most arrivals remembered.
-const ARRIVALS: usize = 500;
+const ARRIVALS: usize = 2000;
 
 /// Steps of the leader that wait for an answer.
 #[derive(Debug)]
@@ -25,6 +28,8 @@
     Renew,
     Watch,
     Commit,
+    Settle,
+    Settled(u64),
     Refresh(Id),
     Orders(Id),
     Hire(String),
@@ -53,6 +58,13 @@
     pub expected: f64,
 }
 
+/// What a class has on machines.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Held {
+    pub all: i64,
+    pub owned: i64,
+}
+
 /// The leader's state.
 pub struct Leader {
     pub(crate) epoch: u64,
@@ -65,8 +77,10 @@
     pub(crate) took_at: u64,
     loading: u32,
     load_retry: Vec<(&'static str, String, u64)>,
-    loom_pairs: Vec<Pair>,
-    done_pairs: Vec<Pair>,
+    block_pairs: Vec<Pair>,
+    page_pairs: Vec<Pair>,
+    old_looms: Vec<Pair>,
+    old_done: Vec<Pair>,
     watch_from: Option<u64>,
     watch_at: Option<u64>,
     /// Sending time of the last watch that was answered: no withdrawal before it was missed.
@@ -77,8 +91,40 @@
     slots: u64,
     pub(crate) jobs: BTreeMap<Id, Job>,
     pub(crate) looms: BTreeMap<Id, Loom>,
-    /// Machines proven gone whose records are to be removed, with versions.
-    pub(crate) gone: BTreeMap<Id, u64>,
+    pub(crate) pages: Pages,
+    /// Facts touched so far.
+    pub(crate) touches: u64,
+    /// Blocks of machines by number, and those to be written.
+    pub(crate) blocks: BTreeMap<u32, Block>,
+    pub(crate) dirty_blocks: BTreeSet<u32>,
+    /// Jobs with plans or ends to write, most urgent first; jobs with outcomes, oldest first.
+    pub(crate) urgent: BTreeSet<(Reverse<Urgency>, u64, Id)>,
+    pub(crate) lazy: BTreeSet<(u64, Id)>,
+    /// Records of an earlier form, with versions. They go when all they held has been written anew.
+    pub(crate) orphans: BTreeMap<String, u64>,
+    pub(crate) legacy: BTreeMap<String, u64>,
+    /// Machines to be told something at once; those that wait for a time; those to confirm a token.
+    pub(crate) push: BTreeSet<Id>,
+    pub(crate) push_later: BTreeSet<(u64, Id)>,
+    pub(crate) confirm: VecDeque<Id>,
+    pub(crate) confirming: u32,
+    /// Images by number.
+    pub(crate) image_names: Vec<String>,
+    image_numbers: HashMap<String, u32>,
+    /// Tasks on machines by class.
+    pub(crate) held: BTreeMap<String, Held>,
+    /// The order among jobs is worked out anew once a round or when jobs come or go.
+    pub(crate) ranks_old: bool,
+    pub(crate) ranks_at: u64,
+    pub(crate) behind: BTreeMap<Id, u8>,
+    pub(crate) guaranteed: BTreeSet<Id>,
+    /// Where the next sample of machines begins.
+    pub(crate) sample_from: Option<Id>,
+    pub(crate) plan_at: u64,
+    floor_at: u64,
+    told_at: u64,
+    /// Writes and transactions since the last line for operators.
+    pub(crate) written: (u32, u32),
     pub(crate) hires: BTreeMap<String, HireState>,
     pub(crate) hire_count: u64,
     pub(crate) owned: Option<BTreeSet<String>>,
@@ -90,7 +136,6 @@
     pub(crate) flight: Option<Flight>,
     pub(crate) writes: f64,
     pub(crate) writes_at: u64,
-    pub(crate) changed_jobs: BTreeSet<Id>,
     pub(crate) replan: bool,
     pub(crate) round_at: u64,
     pub(crate) list_at: u64,
@@ -101,7 +146,7 @@
     pub(crate) learned: BTreeMap<String, Learned>,
     /// Jobs that arrived lately, as they arrived.
     pub(crate) arrivals: Vec<(u64, Job)>,
-    pub(crate) retry_commit_at: u64,
+    pub(crate) commit_at: u64,
 }
 
 impl Leader {
@@ -116,8 +161,10 @@
             took_at: now,
             loading: 0,
             load_retry: Vec::new(),
-            loom_pairs: Vec::new(),
-            done_pairs: Vec::new(),
+            block_pairs: Vec::new(),
+            page_pairs: Vec::new(),
+            old_looms: Vec::new(),
+            old_done: Vec::new(),
             watch_from: None,
             watch_at: None,
             fresh: now,
@@ -127,7 +174,30 @@
             slots: 0,
             jobs: BTreeMap::new(),
             looms: BTreeMap::new(),
-            gone: BTreeMap::new(),
+            pages: Pages::default(),
+            touches: 0,
+            blocks: BTreeMap::new(),
+            dirty_blocks: BTreeSet::new(),
+            urgent: BTreeSet::new(),
+            lazy: BTreeSet::new(),
+            orphans: BTreeMap::new(),
+            legacy: BTreeMap::new(),
+            push: BTreeSet::new(),
+            push_later: BTreeSet::new(),
+            confirm: VecDeque::new(),
+            confirming: 0,
+            image_names: Vec::new(),
+            image_numbers: HashMap::new(),
+            held: BTreeMap::new(),
+            ranks_old: true,
+            ranks_at: 0,
+            behind: BTreeMap::new(),
+            guaranteed: BTreeSet::new(),
+            sample_from: None,
+            plan_at: now,
+            floor_at: now,
+            told_at: now,
+            written: (0, 0),
             hires: BTreeMap::new(),
             hire_count: 0,
             owned: None,
@@ -139,7 +209,6 @@
             flight: None,
             writes: 0.0,
             writes_at: now,
-            changed_jobs: BTreeSet::new(),
             replan: true,
             round_at: now,
             list_at: now,
@@ -149,10 +218,10 @@
             refused: BTreeMap::new(),
             learned: BTreeMap::new(),
             arrivals: Vec::new(),
-            retry_commit_at: now,
+            commit_at: now,
         };
         l.writes = ctx.set.state_write_rps * ctx.tune.write_share;
-        for prefix in [keys::JOBS, keys::DONE, keys::LOOMS, keys::HIRES, "c/"] {
+        for prefix in [keys::JOBS, keys::PAGES, keys::BLOCKS, keys::HIRES, "c/", keys::OLD_DONE, keys::OLD_LOOMS] {
             l.load(ctx, prefix, String::new());
         }
         l
@@ -177,8 +246,10 @@
         for pair in page.pairs {
             match prefix {
                 keys::JOBS => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
-                keys::DONE => self.done_pairs.push(pair),
-                keys::LOOMS => self.loom_pairs.push(pair),
+                keys::PAGES => self.page_pairs.push(pair),
+                keys::BLOCKS => self.block_pairs.push(pair),
+                keys::OLD_DONE => self.old_done.push(pair),
+                keys::OLD_LOOMS => self.old_looms.push(pair),
                 keys::HIRES => {
                     if let Ok(hire) = serde_json::from_value::<shaleshunt_wire::cloud::Hire>(pair.v) {
                         let state = HireState {
@@ -222,84 +293,156 @@
 
     /// Everything has been read: joins outcomes and placements to jobs and begins to act.
     fn activate(&mut self, ctx: &mut Ctx) {
-        let per_chunk = ctx.set.chunk_pieces();
-        for pair in std::mem::take(&mut self.done_pairs) {
-            let mut parts = pair.path[keys::DONE.len()..].rsplitn(2, '/');
+        let now = ctx.now.mono;
+        for pair in std::mem::take(&mut self.block_pairs) {
+            self.block_read(ctx, pair);
+        }
+        let pages = std::mem::take(&mut self.page_pairs);
+        self.pages_read(ctx, pages);
+        self.read_earlier_form(ctx);
+        self.halt_doubles();
+        self.active = true;
+        let ids: Vec<Id> = self.jobs.keys().cloned().collect();
+        for id in &ids {
+            if self.jobs.get(id).is_some_and(|j| j.aborted) {
+                self.stop_job(ctx, id);
+            }
+            self.queue_write(now, id);
+        }
+        // All are asked, some at a time, so that the new token is confirmed before the next report.
+        self.confirm =
+            self.looms.values().filter(|m| !m.endpoint.is_empty() && m.shift > 0).map(|m| m.id.clone()).collect();
+        ctx.log(
+            Severity::Info,
+            format!("epoch {}: read {} jobs, {} machines", self.epoch, self.jobs.len(), self.looms.len()),
+        );
+        self.watch(ctx);
+    }
+
+    fn block_read(&mut self, ctx: &Ctx, pair: Pair) {
+        let Ok(n) = pair.path[keys::BLOCKS.len()..].parse::<u32>() else { return };
+        let Ok(rec) = serde_json::from_value::<BlockRecord>(pair.v) else { return };
+        let images: Vec<(u32, f64)> = rec.i.iter().map(|(name, gb)| (self.image(name), *gb)).collect();
+        let mut block = Block { hall: rec.z.clone(), stamp: pair.stamp, wrote: ctx.now.mono, ..Block::default() };
+        for (name, r) in rec.m {
+            let id: Id = name.as_str().into();
+            // In two blocks only if its move between them was not finished: either will do.
+            if self.looms.contains_key(&id) {
+                continue;
+            }
+            let mut m = self.new_loom(ctx, &id, &r.f, &rec.z, r.b, r.o);
+            (m.endpoint, m.shift, m.hired) = (r.e, r.s, r.t);
+            m.images = r.i.iter().filter_map(|i| images.get(*i as usize).copied()).collect();
+            (m.block, m.recorded) = (Some(n), true);
+            block.owned = r.o;
+            block.looms.insert(id.clone());
+            self.looms.insert(id, m);
+        }
+        self.blocks.insert(n, block);
+    }
+
+    /// A placement that an earlier leader committed. That of a task whose outcome is committed is void.
+    pub(crate) fn placed_before(&mut self, ctx: &Ctx, id: &Id, loom: &Id, shift: u64, attempt: u64, piece: u32) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.done.get(piece) && piece < j.spec.pieces) else { return };
+        let known = job.live.get(&piece).is_some_and(|l| l.iter().any(|l| l.loom == *loom && l.attempt == attempt));
+        if known {
+            return;
+        }
+        let (need, image, gb) = (job.need, job.image, job.spec.image_gb);
+        if !self.looms.contains_key(loom) {
+            // Gone by a return after which its jobs' records were not written any more, or not
+            // recorded: it counts until its silence or another return proves it gone.
+            let m = self.new_loom(ctx, loom, "", "", false, false);
+            self.looms.insert(loom.clone(), m);
+        }
+        if let Some(m) = self.looms.get_mut(loom)
+            && !m.has_image(image)
+        {
+            m.images.push((image, gb));
+        }
+        let p = Placement {
+            job: id.clone(),
+            piece,
+            attempt,
+            shift,
+            slot: self.next_slot(),
+            need,
+            image,
+            stage: Stage::Committed,
+            sent: true,
+            since: ctx.now.mono,
+            running: None,
+            halt: None,
+        };
+        self.put(loom, p);
+    }
+
+    /// Records as version 0.1 kept them: machines with placements, and outcomes by themselves. A
+    /// task about which a page says something is known from there: the leader that wrote it had
+    /// read the earlier form.
+    fn read_earlier_form(&mut self, ctx: &Ctx) {
+        let now = ctx.now.mono;
+        // Outcomes of 0.1 came in chunks of a third of a value's limit, six bits a character.
+        let per_chunk = ((ctx.set.value_kb * 1024.0 * 2.0) as u32 / 64 * 64).max(64);
+        let mut touched: Vec<(Id, u32)> = Vec::new();
+        for pair in std::mem::take(&mut self.old_done) {
+            let mut parts = pair.path[keys::OLD_DONE.len()..].rsplitn(2, '/');
             let chunk = parts.next().and_then(|c| c.parse::<u32>().ok());
             let job = parts.next().and_then(|j| self.jobs.get_mut(j));
-            if let (Some(chunk), Some(job)) = (chunk, job) {
-                if let Some(text) = pair.v.as_str() {
-                    job.done.decode(chunk.saturating_mul(per_chunk), text);
-                }
+            if let (Some(chunk), Some(job), Some(text)) = (chunk, job, pair.v.as_str()) {
+                let before = job.done.clone();
+                job.done.decode(chunk.saturating_mul(per_chunk), text);
                 job.done_count = job.done.count();
-                job.chunks.insert(chunk, pair.stamp);
+                job.begun = true;
+                let new = |i: &u32| job.done.get(*i) && !before.get(*i);
+                touched.extend((0..job.spec.pieces).filter(new).map(|i| (job.id.clone(), i)));
             }
+            self.legacy.insert(pair.path, pair.stamp);
         }
-        for pair in std::mem::take(&mut self.loom_pairs) {
-            let name: Id = pair.path[keys::LOOMS.len()..].into();
-            let Ok(rec) = serde_json::from_value::<LoomRecord>(pair.v) else { continue };
-            let mut m = self.new_loom(ctx, &name, &rec.f, &rec.z, rec.b, rec.o);
-            m.endpoint = rec.e;
-            m.shift = rec.s;
-            m.hired = rec.t;
-            m.images = rec.i;
-            m.stamp = pair.stamp;
-            m.dirty = false;
-            self.looms.insert(name.clone(), m);
+        for pair in std::mem::take(&mut self.old_looms) {
+            let name: Id = pair.path[keys::OLD_LOOMS.len()..].into();
+            self.legacy.insert(pair.path, pair.stamp);
+            let Ok(rec) = serde_json::from_value::<OldLoomRecord>(pair.v) else { continue };
+            if !self.looms.contains_key(&name) {
+                let mut m = self.new_loom(ctx, &name, &rec.f, &rec.z, rec.b, rec.o);
+                (m.endpoint, m.shift, m.hired) = (rec.e, rec.s, rec.t);
+                self.looms.insert(name.clone(), m);
+                self.join_block(ctx, &name);
+            }
             for (job, piece, attempt) in rec.p {
-                // A placement of a finished job, or of a task whose outcome is committed, is void:
-                // a job ends only after all its placements' ends were seen.
-                let known = self.jobs.get(job.as_str()).filter(|j| !j.done.get(piece));
-                if let Some((id, need)) = known.map(|j| (j.id.clone(), j.need)) {
-                    let p = Placement {
-                        job: id,
-                        piece,
-                        attempt,
-                        slot: self.next_slot(),
-                        need,
-                        stage: Stage::Committed,
-                        sent: true,
-                        since: ctx.now.mono,
-                        running: None,
-                        halt: None,
-                    };
-                    self.put(&name, p);
+                let unknown = |j: &&Job| j.facts.get(piece as usize).is_none_or(|at| *at == 0);
+                if let Some(id) = self.jobs.get(job.as_str()).filter(unknown).map(|j| j.id.clone()) {
+                    self.placed_before(ctx, &id, &name, rec.s, attempt, piece);
+                    touched.push((id, piece));
                 }
             }
-            if let Some(m) = self.looms.get_mut(&name) {
-                m.dirty = false;
-                // Asked at once, so that the new token is confirmed before the next report.
-                m.push = !m.endpoint.is_empty() && m.shift > 0;
-            }
         }
-        self.halt_doubles();
-        self.active = true;
-        self.changed_jobs = self.jobs.keys().cloned().collect();
-        let cancelled: Vec<Id> = self.jobs.values().filter(|j| j.aborted).map(|j| j.id.clone()).collect();
-        for id in cancelled {
-            self.stop_job(ctx, &id);
+        for (id, piece) in touched {
+            self.touch(now, &id, piece, true);
         }
-        ctx.log(
-            Severity::Info,
-            format!("epoch {}: read {} jobs, {} machines", self.epoch, self.jobs.len(), self.looms.len()),
-        );
-        self.watch(ctx);
     }
 
-    /// Where records name a task twice, the earlier placement had been released when the later was
-    /// planned, so it is gone; it must not be started again and is released by proof as any other.
+    /// The number of an image.
+    pub(crate) fn image(&mut self, name: &str) -> u32 {
+        if let Some(n) = self.image_numbers.get(name) {
+            return *n;
+        }
+        let n = self.image_names.len() as u32;
+        self.image_names.push(name.to_string());
+        self.image_numbers.insert(name.to_string(), n);
+        n
+    }
+
+    /// Where records of the earlier form name a task twice, the earlier placement had been released
+    /// when the later was planned, so it is gone; it must not be started again and is released by
+    /// proof as any other.
     fn halt_doubles(&mut self) {
         for job in self.jobs.values() {
             for list in job.live.values().filter(|l| l.len() > 1) {
-                let attempt = |(loom, slot): &(Id, u64)| {
-                    let places = self.looms.get(loom).map(|m| &m.places);
-                    places.and_then(|p| p.iter().find(|p| p.slot == *slot)).map_or(0, |p| p.attempt)
-                };
-                let latest = list.iter().map(attempt).max().unwrap_or(0);
-                let earlier: Vec<(Id, u64)> = list.iter().filter(|e| attempt(e) < latest).cloned().collect();
-                for (loom, slot) in earlier {
-                    let place = self.looms.get_mut(&loom).and_then(|m| m.places.iter_mut().find(|p| p.slot == slot));
-                    if let Some(p) = place {
+                let latest = list.iter().map(|l| l.attempt).max().unwrap_or(0);
+                for l in list.iter().filter(|l| l.attempt < latest) {
+                    let places = self.looms.get_mut(&l.loom).map(|m| &mut m.places);
+                    if let Some(p) = places.and_then(|p| p.iter_mut().find(|p| p.slot == l.slot)) {
                         p.halt = Some(0.0);
                     }
                 }
@@ -329,22 +472,23 @@
             Some(job) => {
                 job.stamp = stamp;
                 job.stale = false;
+                let id = job.id.clone();
                 if rec.x && !job.aborted {
                     job.aborted = true;
-                    let id = job.id.clone();
                     self.stop_job(ctx, &id);
                 }
+                self.queue_write(ctx.now.mono, &id);
             }
             None => {
                 if self.active && !rec.x && self.arrivals.len() < ARRIVALS {
                     self.arrivals.push((ctx.now.mono, Job::new(rec.clone(), stamp)));
                 }
-                let job = Job::new(rec, stamp);
-                let (id, aborted) = (job.id.clone(), job.aborted);
+                let mut job = Job::new(rec, stamp);
+                job.image = self.image(&job.spec.bundle);
+                let id = job.id.clone();
                 self.jobs.insert(id.clone(), job);
-                if aborted {
-                    self.changed_jobs.insert(id);
-                }
+                self.ranks_old = true;
+                self.queue_write(ctx.now.mono, &id);
             }
         }
     }
@@ -355,8 +499,10 @@
             job.aborted = true;
             let id = job.id.clone();
             self.stop_job(ctx, &id);
-            self.jobs.remove(&id);
-            self.changed_jobs.remove(&id);
+            if let Some(job) = self.jobs.remove(&id) {
+                self.forget_facts(&job);
+            }
+            self.ranks_old = true;
             self.replan = true;
         }
     }
@@ -402,6 +548,8 @@
             (LeadWait::Refresh(id), Ok(StateReply::Missing)) => self.job_gone(ctx, &id),
             (LeadWait::Refresh(id), _) => self.refresh(ctx, id),
             (LeadWait::Commit, result) => self.committed(ctx, result),
+            (LeadWait::Settle, result) => self.settle(ctx, result),
+            (LeadWait::Settled(stamp), result) => self.settled(ctx, stamp, result),
             _ => {}
         }
     }
@@ -429,16 +577,45 @@
         if self.watch_at.is_some_and(|t| now >= t) {
             self.watch(ctx);
         }
-        self.watch_floor(ctx);
+        if now >= self.floor_at {
+            self.floor_at = now + ctx.set.report_ms() / 8;
+            self.watch_floor(ctx);
+        }
+        if now >= self.told_at {
+            self.told_at = now + ctx.set.report_ms();
+            self.tell_state(ctx);
+        }
         self.rounds(ctx);
-        if self.replan {
+        if self.replan && now >= self.plan_at {
             self.replan = false;
+            self.plan_at = now + (ctx.set.report_s * 1000.0 / ctx.tune.passes) as u64;
             self.schedule(ctx);
         }
         self.commit(ctx);
         self.push_orders(ctx);
     }
 
+    /// A line for operators: how much there is to do, and what holds it up.
+    fn tell_state(&mut self, ctx: &mut Ctx) {
+        let waiting: u32 = self.jobs.values().filter(|j| !j.aborted).map(Job::waiting).sum();
+        let used = self.looms.values().filter(|m| m.usable(ctx.now.mono, &ctx.set)).count();
+        let line = format!(
+            "{} jobs, {waiting} tasks wait, {used} of {} machines usable; {} writes in {} transactions, {:.0} in hand, \
+             {} jobs to write at once, {} later, {} pages{}",
+            self.jobs.len(),
+            self.looms.len(),
+            self.written.0,
+            self.written.1,
+            self.writes,
+            self.urgent.len(),
+            self.lazy.len(),
+            self.pages.len(),
+            if self.flight.is_some() { ", one under way" } else { "" },
+        );
+        self.written = (0, 0);
+        ctx.log(Severity::Debug, line);
+    }
+
     /// Whether workers' leases may be renewed: no withdrawal can have been missed for too long.
     pub(crate) fn sighted(&self, ctx: &Ctx) -> bool {
         ctx.now.mono.saturating_sub(self.fresh) < ctx.set.blind_ms()
@@ -476,17 +653,18 @@
             used: Room::default(),
             places: Vec::new(),
             images: Vec::new(),
-            stamp: 0,
-            dirty: true,
-            released: false,
-            writing: false,
+            block: None,
+            recorded: false,
             heard: None,
             ours: false,
             last: (0, 0),
             bump: 0,
             answer_open: false,
+            deaf: 0,
             call: None,
             call_after: 0,
+            confirms: false,
+            risky: false,
             push: false,
             warned: None,
             strangers: Vec::new(),
@@ -507,47 +685,65 @@
         let Some(m) = self.looms.get_mut(loom) else { return };
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
         m.used.add(&p.need, 1);
-        m.dirty = true;
-        job.live.entry(p.piece).or_default().push((loom.clone(), p.slot));
+        let list = job.live.entry(p.piece).or_default();
+        if list.is_empty() && !job.done.get(p.piece) {
+            job.placed += 1;
+        }
+        list.push(Live {
+            loom: loom.clone(),
+            slot: p.slot,
+            attempt: p.attempt,
+            shift: p.shift,
+            planned: p.stage == Stage::Planned,
+        });
         *job.zones.entry(m.hall.clone()).or_default() += 1;
         self.teams.entry(job.spec.crew.clone()).or_default().add(&p.need, 1);
+        let held = self.held.entry(job.spec.jobline.clone()).or_default();
+        held.all += 1;
+        held.owned += i64::from(m.owned);
         m.places.push(p);
     }
 
-    /// Takes a placement off a machine; the caller has the proof that it is gone. The machine's
-    /// record is written again, but not for a task that is `done`: its outcome voids what the
-    /// record says, which saves a write.
+    /// Takes a placement off a machine; the caller has the proof that it is gone.
     pub(crate) fn release(&mut self, now: u64, loom: &Id, slot: u64, done: bool) -> Option<Placement> {
         let m = self.looms.get_mut(loom)?;
         let at = m.places.iter().position(|p| p.slot == slot)?;
         let p = m.places.remove(at);
         m.used.add(&p.need, -1);
-        m.dirty |= !done;
-        // A plan may be in the write that is under way.
-        m.released |= !done && (p.stage != Stage::Planned || m.writing);
         if m.places.is_empty() {
             m.idle_since = now;
         }
         self.replan = true;
         if let Some(job) = self.jobs.get_mut(&p.job) {
             if let Some(list) = job.live.get_mut(&p.piece) {
-                list.retain(|(_, s)| *s != slot);
+                list.retain(|l| l.slot != slot);
                 if list.is_empty() {
                     job.live.remove(&p.piece);
                     job.cursor = job.cursor.min(p.piece);
+                    if !job.done.get(p.piece) {
+                        job.placed = job.placed.saturating_sub(1);
+                    }
                 }
             }
+            if matches!(p.stage, Stage::Running | Stage::Flushing) {
+                job.running = job.running.saturating_sub(1);
+            }
             if let Some(n) = job.zones.get_mut(&m.hall) {
                 *n = n.saturating_sub(1);
             }
             if let Some(t) = self.teams.get_mut(&job.spec.crew) {
                 t.add(&p.need, -1);
             }
+            if let Some(held) = self.held.get_mut(&job.spec.jobline) {
+                held.all -= 1;
+                held.owned -= i64::from(m.owned);
+            }
+            let aborted = job.aborted;
             if !done {
-                job.tails.insert(loom.clone());
+                self.touch(now, &p.job, p.piece, false);
             }
-            if job.aborted {
-                self.changed_jobs.insert(p.job.clone());
+            if aborted {
+                self.queue_write(now, &p.job);
             }
         }
         Some(p)
@@ -555,12 +751,12 @@
 
     /// Stops all tasks of a cancelled job. What never left is released at once.
     pub(crate) fn stop_job(&mut self, ctx: &mut Ctx, id: &Id) {
-        self.changed_jobs.insert(id.clone());
         let Some(job) = self.jobs.get(id) else { return };
-        let live: Vec<(Id, u64)> = job.live.values().flatten().cloned().collect();
+        let live: Vec<(Id, u64)> = job.live.values().flatten().map(|l| (l.loom.clone(), l.slot)).collect();
         for (loom, slot) in live {
             self.stop_place(ctx.now.mono, &loom, slot);
         }
+        self.queue_write(ctx.now.mono, id);
     }
 
     /// Stops a task at once; one whose `run` never left is released.
@@ -569,7 +765,7 @@
         let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { return };
         if p.sent {
             p.halt = Some(0.0);
-            m.push = true;
+            self.push.insert(loom.clone());
         } else {
             self.release(now, loom, slot, false);
         }
@@ -577,32 +773,15 @@
 
     /// Done and running tasks of a job, for display.
     pub(crate) fn count(&self, job: &str) -> (u32, u32) {
-        self.jobs.get(job).map_or((0, 0), |j| {
-            let running = j
-                .live
-                .values()
-                .flatten()
-                .filter(|(loom, slot)| {
-                    let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.slot == *slot));
-                    place.is_some_and(|p| matches!(p.stage, Stage::Running | Stage::Flushing))
-                })
-                .count();
-            (j.done_count, running as u32)
-        })
+        self.jobs.get(job).map_or((0, 0), |j| (j.done_count, j.running))
     }
 
     /// Counts of all jobs, for the other nodes' display.
     pub(crate) fn counts(&self) -> Vec<(String, u32, u32)> {
-        let mut running: BTreeMap<&Id, u32> = BTreeMap::new();
-        for p in self.looms.values().flat_map(|m| &m.places) {
-            if matches!(p.stage, Stage::Running | Stage::Flushing) {
-                *running.entry(&p.job).or_default() += 1;
-            }
-        }
         // Many more jobs than a frame may hold are shown by the leader alone.
         self.jobs
             .values()
-            .map(|j| (j.id.to_string(), j.done_count, running.get(&j.id).copied().unwrap_or(0)))
+            .map(|j| (j.id.to_string(), j.done_count, j.running))
             .filter(|(_, done, running)| done + running > 0)
             .take(3000)
             .collect()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,8 +3,8 @@
 //!
 //! - [`node::Node`] is what a process runs: users' requests, leadership and, while it leads, the
 //!   scheduler.
-//! - `leader` keeps what only the leader knows; `commit` writes it to the state service; `floor`
-//!   talks to workers; `place` chooses machines; `rent` talks to the cloud.
+//! - `leader` keeps what only the leader knows; `commit` writes it to the state service, the facts
+//!   about tasks on `pages`; `floor` talks to workers; `place` chooses machines; `rent` talks to the cloud.
 
 pub mod io;
 pub mod model;
@@ -15,6 +15,7 @@
 mod floor;
 mod front;
 mod leader;
+mod pages;
 mod place;
 mod rent;
 
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -2,7 +2,6 @@
 
 use crate::settings::Settings;
 use serde::{Deserialize, Serialize};
-use serde_json::{Value, json};
 use shaleshunt_wire::Room;
 use shaleshunt_wire::user::{Shape, Submission};
 use shaleshunt_wire::worker::Cause;
@@ -12,6 +11,10 @@
 /// A job's or machine's name.
 pub type Id = Arc<str>;
 
+/// A machine that let so many commands in a row pass unseen gets no tasks until it shows one: its
+/// reports may arrive while nothing reaches it.
+const DEAF: u32 = 2;
+
 /// Keys of the state service.
 pub mod keys {
     /// The leader's key, attached to its lease.
@@ -22,10 +25,14 @@
     pub const JOBS: &str = "j/";
     /// Finished jobs.
     pub const FINALS: &str = "f/";
-    /// Outcomes of unfinished jobs' tasks.
-    pub const DONE: &str = "d/";
-    /// Machines and their placements.
-    pub const LOOMS: &str = "m/";
+    /// Facts about unfinished jobs' tasks, on pages.
+    pub const PAGES: &str = "p/";
+    /// Machines, in blocks.
+    pub const BLOCKS: &str = "b/";
+    /// Outcomes as version 0.1 kept them. Read at a takeover, removed once written anew.
+    pub const OLD_DONE: &str = "d/";
+    /// Machines and placements as version 0.1 kept them. Read and removed likewise.
+    pub const OLD_LOOMS: &str = "m/";
     /// Hires under way.
     pub const HIRES: &str = "h/";
     /// The machine types.
@@ -55,9 +62,42 @@
     pub n: u32,
 }
 
-/// Record of a machine: one key holds all its placements, so a start costs one write a machine.
+/// A machine in a block's record.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct LoomRecord {
+    /// Type.
+    pub f: String,
+    /// Spot.
+    pub b: bool,
+    /// Owned.
+    pub o: bool,
+    /// Address.
+    pub e: String,
+    /// Session when it was written.
+    pub s: u64,
+    /// When it was hired, time of day.
+    pub t: u64,
+    /// Images held, by their place in the block's list.
+    #[serde(default)]
+    pub i: Vec<u32>,
+}
+
+/// Record of a block: machines of one zone, all owned or all hired, so that a new leader reads
+/// some dozens of keys and hiring fifty machines costs a write or two.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct BlockRecord {
+    /// Zone.
+    pub z: String,
+    /// Images that its machines hold, with their sizes.
+    #[serde(default)]
+    pub i: Vec<(String, f64)>,
+    /// The machines.
+    pub m: BTreeMap<String, LoomRecord>,
+}
+
+/// Record of a machine as version 0.1 kept it, with its placements.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct OldLoomRecord {
     /// Type.
     pub f: String,
     /// Zone.
@@ -74,9 +114,6 @@
     pub t: u64,
     /// Placements: job, task, attempt.
     pub p: Vec<(String, u32, u64)>,
-    /// Images held, most recently used last.
-    #[serde(default)]
-    pub i: Vec<(String, f64)>,
 }
 
 /// A set of task numbers.
@@ -112,8 +149,7 @@
     pub fn count(&self) -> u32 {
         self.0.iter().map(|w| w.count_ones()).sum()
     }
-    /// Numbers from `from`, `len` of them (multiples of 64), as text: 16 hexadecimal digits a
-    /// word would be too long for a value, so six bits a character.
+    /// Numbers from `from`, `len` of them, as text, six bits a character.
     pub fn encode(&self, from: u32, len: u32) -> String {
         let bit = |i: u32| u8::from(i < from + len && self.get(i));
         (from..from + len.min((self.0.len() as u32 * 64).saturating_sub(from)))
@@ -159,10 +195,14 @@
     pub piece: u32,
     /// Attempt.
     pub attempt: u64,
+    /// The machine's session that it is for: gone in any newer one.
+    pub shift: u64,
     /// Its number inside this process.
     pub slot: u64,
     /// Room it takes.
     pub need: Room,
+    /// Number of its image.
+    pub image: u32,
     /// How far it is.
     pub stage: Stage,
     /// Whether a `run` may have left.
@@ -175,6 +215,21 @@
     pub halt: Option<f64>,
 }
 
+/// Where a task of a job is.
+#[derive(Debug, Clone)]
+pub struct Live {
+    /// Machine.
+    pub loom: Id,
+    /// The placement's number inside this process.
+    pub slot: u64,
+    /// Attempt.
+    pub attempt: u64,
+    /// The machine's session.
+    pub shift: u64,
+    /// Not committed yet.
+    pub planned: bool,
+}
+
 /// An unfinished job.
 #[derive(Debug)]
 pub struct Job {
@@ -186,6 +241,8 @@
     pub need: Room,
     /// When it was accepted, time of day.
     pub at: u64,
+    /// Number of its image.
+    pub image: u32,
     /// Version of its record.
     pub stamp: u64,
     /// Cancelled.
@@ -196,16 +253,24 @@
     pub done: Bits,
     /// How many.
     pub done_count: u32,
-    /// Tasks done whose outcome is not committed.
-    pub uncommitted: BTreeSet<u32>,
-    /// Outcome keys that exist, with their versions.
-    pub chunks: BTreeMap<u32, u64>,
+    /// Tasks about which something is to be written, with how new that is.
+    pub pending: BTreeMap<u32, u64>,
+    /// A plan is among it.
+    pub urgent: bool,
+    /// It is among the jobs whose outcomes wait to be written.
+    pub waits_to_write: bool,
+    /// By task, the page with the last fact about it, 0 for none; empty before the first.
+    pub facts: Vec<u32>,
     /// Placements by task.
-    pub live: BTreeMap<u32, Vec<(Id, u64)>>,
+    pub live: BTreeMap<u32, Vec<Live>>,
+    /// Tasks placed and not done.
+    pub placed: u32,
+    /// Tasks that run or save.
+    pub running: u32,
+    /// A task of it has started at some time.
+    pub begun: bool,
     /// No task below this is free.
     pub cursor: u32,
-    /// Machines whose records may still name a placement that has been released.
-    pub tails: BTreeSet<Id>,
     /// Live placements per zone.
     pub zones: BTreeMap<String, u32>,
     /// Machines on which tasks failed.
@@ -225,16 +290,21 @@
             id: rec.s.id.as_str().into(),
             need: rec.s.need(),
             at: rec.at,
+            image: 0,
             stamp,
             aborted: rec.x,
             stale: false,
             done: Bits::new(rec.s.pieces),
             done_count: 0,
-            uncommitted: BTreeSet::new(),
-            chunks: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            urgent: false,
+            waits_to_write: false,
+            facts: Vec::new(),
             live: BTreeMap::new(),
+            placed: 0,
+            running: 0,
+            begun: false,
             cursor: 0,
-            tails: BTreeSet::new(),
             zones: BTreeMap::new(),
             failed_on: BTreeSet::new(),
             failures: 0,
@@ -257,8 +327,7 @@
     }
     /// Tasks neither done nor placed.
     pub fn waiting(&self) -> u32 {
-        let placed = self.live.keys().filter(|&&i| !self.done.get(i)).count() as u32;
-        self.spec.pieces.saturating_sub(self.done_count + placed)
+        self.spec.pieces.saturating_sub(self.done_count + self.placed)
     }
     /// Whether all tasks are done.
     pub fn complete(&self) -> bool {
@@ -272,21 +341,40 @@
     pub fn due(&self) -> Option<u64> {
         self.spec.due_s.map(|d| self.at + (d * 1000.0) as u64)
     }
-    /// Records that a task is done; false if that was known.
+    /// Notes that a task is done; false if that was known. Its placement has been released.
     pub fn mark_done(&mut self, piece: u32) -> bool {
         let new = piece < self.spec.pieces && self.done.insert(piece);
         if new {
             self.done_count += 1;
-            self.uncommitted.insert(piece);
+            if self.live.contains_key(&piece) {
+                self.placed = self.placed.saturating_sub(1);
+            }
         }
         new
     }
-    /// Key of the outcomes of a chunk of tasks.
-    pub fn chunk_key(&self, chunk: u32) -> String {
-        format!("{}{}/{chunk}", keys::DONE, self.id)
+    /// Whether it has ended: all tasks done, or cancelled and proven off all machines.
+    pub fn over(&self) -> bool {
+        self.complete() || self.aborted && self.live.is_empty()
     }
 }
 
+/// A block of machines, as its record has or will have it.
+#[derive(Debug, Default)]
+pub struct Block {
+    /// Zone.
+    pub hall: String,
+    /// Whether its machines are owned.
+    pub owned: bool,
+    /// The machines.
+    pub looms: BTreeSet<Id>,
+    /// Version of its record, 0 if there is none.
+    pub stamp: u64,
+    /// Its record is to be written.
+    pub dirty: bool,
+    /// When it was last written: images are noted now and then.
+    pub wrote: u64,
+}
+
 /// A machine.
 #[derive(Debug)]
 pub struct Loom {
@@ -312,16 +400,12 @@
     pub used: Room,
     /// Placements.
     pub places: Vec<Placement>,
-    /// Images, most recently used last.
-    pub images: Vec<(String, f64)>,
-    /// Version of its record, 0 if there is none.
-    pub stamp: u64,
-    /// Its record is to be written.
-    pub dirty: bool,
-    /// Its record names something that has been released.
-    pub released: bool,
-    /// A write of its record is under way.
-    pub writing: bool,
+    /// Images by number, most recently used last.
+    pub images: Vec<(u32, f64)>,
+    /// The block that its record is in.
+    pub block: Option<u32>,
+    /// Its record is committed: tasks may be placed on it.
+    pub recorded: bool,
     /// Last report received by this leader.
     pub heard: Option<u64>,
     /// Whether a report under this leader's token has come.
@@ -332,11 +416,17 @@
     pub bump: u64,
     /// The answer to the last check-in held a `run`, and no later check-in has come.
     pub answer_open: bool,
+    /// Commands in a row of which nothing was seen: it reports, but does not hear us.
+    pub deaf: u32,
     /// Direct call under way.
     pub call: Option<u64>,
     /// No direct call before this time.
     pub call_after: u64,
-    /// Something is to be told at once.
+    /// The direct call under way only confirms the token.
+    pub confirms: bool,
+    /// The direct call under way holds commands.
+    pub risky: bool,
+    /// Something is to be told as soon as the direct call under way is over.
     pub push: bool,
     /// Taken away at this time (steady clock).
     pub warned: Option<u64>,
@@ -363,28 +453,14 @@
 }
 
 impl Loom {
-    /// Its record, with or without what is only planned.
-    pub fn record(&self, plans: bool) -> Value {
-        json!(LoomRecord {
-            f: self.frame.clone(),
-            z: self.hall.clone(),
-            b: self.borrowed,
-            o: self.owned,
-            e: self.endpoint.clone(),
-            s: self.shift,
-            t: self.hired,
-            p: self
-                .places
-                .iter()
-                .filter(|p| plans || p.stage != Stage::Planned)
-                .map(|p| (p.job.to_string(), p.piece, p.attempt))
-                .collect(),
-            i: self.images.clone(),
-        })
-    }
     /// Whether it answers and may get tasks.
     pub fn usable(&self, now: u64, set: &Settings) -> bool {
-        self.answers(now, set) && !self.leaving && self.warned.is_none() && now >= self.sick_until
+        self.recorded
+            && self.deaf < DEAF
+            && self.answers(now, set)
+            && !self.leaving
+            && self.warned.is_none()
+            && now >= self.sick_until
     }
     /// Whether it has reported lately.
     pub fn answers(&self, now: u64, set: &Settings) -> bool {
@@ -400,16 +476,16 @@
         }
     }
     /// Notes that an image is here, forgetting the least recently used beyond `local_gb`.
-    pub fn touch_image(&mut self, bundle: &str, gb: f64, local_gb: f64) {
-        self.images.retain(|(b, _)| b != bundle);
-        self.images.push((bundle.to_string(), gb));
+    pub fn touch_image(&mut self, bundle: u32, gb: f64, local_gb: f64) {
+        self.images.retain(|(b, _)| *b != bundle);
+        self.images.push((bundle, gb));
         while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > local_gb {
             self.images.remove(0);
         }
     }
     /// Whether it holds an image.
-    pub fn has_image(&self, bundle: &str) -> bool {
-        self.images.iter().any(|(b, _)| b == bundle)
+    pub fn has_image(&self, bundle: u32) -> bool {
+        self.images.iter().any(|(b, _)| *b == bundle)
     }
 }
 
--- /dev/null
+++ b/crates/core/src/pages.rs
@@ -0,0 +1,361 @@
+//! Facts about tasks, on pages: where each is placed, which are done, which are free again.
+//!
+//! A page is one value of the state service with facts of any number of jobs, so that a
+//! transaction writes one page however many tasks it places. The newest page is written again with
+//! more until it is full. Of the facts about a task the last one counts, in the order of pages and
+//! of the facts on a page: an old placement had been proven gone when a newer one was planned, so
+//! a reader that finds both knows that only the newer can be. A page that nothing refers to any
+//! more is removed; what little is left on an old one is written anew first.
+
+use crate::commit::Flight;
+use crate::leader::Leader;
+use crate::model::*;
+use crate::node::Ctx;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use shaleshunt_wire::state::Pair;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Most tasks of a job in one transaction.
+const MOST_PIECES: usize = 1024;
+/// An old page of which less than this share still counts is written anew.
+const STALE_SHARE: f64 = 0.4;
+
+/// A page's record.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub(crate) struct PageRecord {
+    /// Facts, oldest first.
+    pub e: Vec<Fact>,
+}
+
+/// What holds for some tasks of a job: done, placed, or (neither given) free.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct Fact {
+    /// Job.
+    pub j: String,
+    /// Machine, its session, and the attempt.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub m: Option<(String, u64, u64)>,
+    /// Done.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub d: bool,
+    /// Runs of tasks: the first, and how many.
+    pub n: Vec<(u32, u32)>,
+}
+
+impl Fact {
+    fn new(job: &Id) -> Fact {
+        Fact { j: job.to_string(), m: None, d: false, n: Vec::new() }
+    }
+    fn push(&mut self, piece: u32) {
+        match self.n.last_mut() {
+            Some((from, len)) if *from + *len == piece => *len += 1,
+            _ => self.n.push((piece, 1)),
+        }
+    }
+    /// A bound on the length of its text.
+    fn bytes(&self) -> usize {
+        let digits = |n: u32| n.checked_ilog10().unwrap_or(0) as usize + 1;
+        let runs: usize = self.n.iter().map(|(a, b)| digits(*a) + digits(*b) + 4).sum();
+        runs + self.j.len() + 30 + self.m.as_ref().map_or(0, |m| m.0.len() + 40)
+    }
+}
+
+/// The page with the last fact about a task, and where it is placed: machine, session, attempt.
+type LastFact = (u32, Option<(Id, u64, u64)>);
+
+/// What is known of a page that is stored.
+#[derive(Debug, Default)]
+pub(crate) struct Page {
+    stamp: u64,
+    /// Facts that still count, by job.
+    jobs: BTreeMap<Id, u32>,
+    live: u32,
+    total: u32,
+}
+
+/// The pages, and the newest one's content.
+#[derive(Debug, Default)]
+pub(crate) struct Pages {
+    all: BTreeMap<u32, Page>,
+    newest: u32,
+    facts: Vec<Fact>,
+    bytes: usize,
+    /// The page that is being written anew.
+    draining: Option<u32>,
+}
+
+impl Draft {
+    pub(crate) fn bytes(&self) -> usize {
+        self.bytes
+    }
+}
+
+impl Pages {
+    pub(crate) fn len(&self) -> usize {
+        self.all.len()
+    }
+}
+
+/// A page as a transaction would leave it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Draft {
+    number: u32,
+    facts: Vec<Fact>,
+    bytes: usize,
+}
+
+/// A task's fact in a transaction: job, task, how new it was, and the page it is on.
+#[derive(Debug)]
+pub(crate) struct Noted {
+    pub job: Id,
+    pub pieces: Vec<(u32, u64)>,
+    pub page: u32,
+}
+
+fn key(number: u32) -> String {
+    // In the order of the keys the pages are in the order of their numbers.
+    format!("{}{number:010}", keys::PAGES)
+}
+
+impl Leader {
+    /// Something about a task is to be written: at once for a plan, else soon.
+    pub(crate) fn touch(&mut self, now: u64, id: &Id, piece: u32, urgent: bool) {
+        self.touches += 1;
+        let touches = self.touches;
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.pending.insert(piece, touches);
+            job.urgent |= urgent;
+            self.queue_write(now, id);
+        }
+    }
+
+    /// Queues what a job has to write, its end included.
+    pub(crate) fn queue_write(&mut self, now: u64, id: &Id) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.over() || job.urgent {
+            self.urgent.insert((Reverse(job.spec.urgency), job.at, id.clone()));
+        }
+        if !job.pending.is_empty() && !job.waits_to_write {
+            job.waits_to_write = true;
+            self.lazy.insert((now, id.clone()));
+        }
+    }
+
+    /// Puts facts of a job into the transaction; false if not all fit.
+    pub(crate) fn gather_facts(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
+        let Some(job) = self.jobs.get(id) else { return true };
+        let taken: Vec<(u32, u64)> = job.pending.iter().take(MOST_PIECES).map(|(p, n)| (*p, *n)).collect();
+        if taken.is_empty() {
+            return true;
+        }
+        let mut done = Fact::new(id);
+        done.d = true;
+        let mut free = Fact::new(id);
+        let mut placed: BTreeMap<(&Id, u64, u64), Fact> = BTreeMap::new();
+        let mut plans = Vec::new();
+        for (piece, _) in &taken {
+            if job.done.get(*piece) {
+                done.push(*piece);
+                continue;
+            }
+            match job.live.get(piece) {
+                Some(list) => {
+                    for l in list {
+                        placed.entry((&l.loom, l.shift, l.attempt)).or_insert_with(|| Fact::new(id)).push(*piece);
+                        if l.planned {
+                            plans.push((l.loom.clone(), l.slot));
+                        }
+                    }
+                }
+                None => free.push(*piece),
+            }
+        }
+        let mut facts: Vec<Fact> = [done, free].into_iter().filter(|f| !f.n.is_empty()).collect();
+        facts.extend(placed.into_iter().map(|((loom, shift, attempt), mut fact)| {
+            fact.m = Some((loom.to_string(), shift, attempt));
+            fact
+        }));
+        let bytes: usize = facts.iter().map(Fact::bytes).sum();
+        let most = ctx.set.page_bytes();
+        // What does not fit on the newest page goes on more.
+        let (begun, fits) = (f.drafts.last(), |used: usize| used + bytes <= most);
+        let more = match begun {
+            Some(d) if fits(d.bytes) => 0,
+            None if fits(self.pages.bytes) => 1,
+            Some(_) => 1 + bytes / most * 2,
+            None => 2 + bytes / most * 2,
+        };
+        if !f.takes(more, 1 + more, bytes + f.drafted()) {
+            return false;
+        }
+        if f.drafts.is_empty() {
+            let p = &self.pages;
+            let number = p.newest.max(1);
+            f.drafts.push(Draft { number, facts: p.facts.clone(), bytes: p.bytes });
+        }
+        if !plans.is_empty() {
+            f.expect_job(job);
+        }
+        let newness: BTreeMap<u32, u64> = taken.iter().copied().collect();
+        for fact in facts {
+            let size = fact.bytes();
+            let Some(last) = f.drafts.last() else { return false };
+            if last.bytes + size > most && !last.facts.is_empty() {
+                let number = last.number + 1;
+                f.drafts.push(Draft { number, ..Draft::default() });
+            }
+            let Some(last) = f.drafts.last_mut() else { return false };
+            let all = fact.n.iter().flat_map(|(from, len)| *from..from + len);
+            let pieces = all.filter_map(|p| newness.get(&p).map(|n| (p, *n))).collect();
+            f.noted.push(Noted { job: id.clone(), pieces, page: last.number });
+            last.bytes += size;
+            last.facts.push(fact);
+        }
+        f.plans.extend(plans);
+        taken.len() == job.pending.len()
+    }
+
+    /// Writes the drafted pages into the transaction.
+    pub(crate) fn gather_pages(&mut self, f: &mut Flight) {
+        for d in std::mem::take(&mut f.drafts) {
+            let stamp = self.pages.all.get(&d.number).map_or(0, |p| p.stamp);
+            let v = json!(PageRecord { e: d.facts.clone() });
+            f.set(key(d.number), stamp, v, d.bytes);
+            f.pages.push(d);
+        }
+    }
+
+    /// Room for removing pages: those that nothing refers to.
+    pub(crate) fn gather_dead_pages(&mut self, f: &mut Flight) {
+        let newest = self.pages.newest;
+        for (n, p) in &self.pages.all {
+            if *n < newest && p.live == 0 && p.stamp > 0 && f.takes(1, 1, 100) {
+                f.drop_key(key(*n), p.stamp);
+                f.dead_pages.push(*n);
+            }
+        }
+    }
+
+    /// An old page of which little still counts: that is to be written anew.
+    pub(crate) fn drain_page(&mut self, now: u64) {
+        if let Some(n) = self.pages.draining {
+            if self.pages.all.get(&n).is_some_and(|p| p.live > 0) {
+                return;
+            }
+            self.pages.draining = None;
+        }
+        let newest = self.pages.newest;
+        let stale = |p: &Page| p.live > 0 && f64::from(p.live) < f64::from(p.total) * STALE_SHARE;
+        let found = self.pages.all.iter().find(|(n, p)| **n < newest && stale(p)).map(|(n, _)| *n);
+        let Some(n) = found else { return };
+        self.pages.draining = Some(n);
+        let jobs: Vec<Id> = self.pages.all.get(&n).map(|p| p.jobs.keys().cloned().collect()).unwrap_or_default();
+        for id in jobs {
+            let pieces: Vec<u32> = match self.jobs.get(&id) {
+                Some(j) => (0..).zip(&j.facts).filter(|(_, at)| **at == n).map(|(piece, _)| piece).collect(),
+                None => continue,
+            };
+            for piece in pieces {
+                self.touch(now, &id, piece, false);
+            }
+        }
+    }
+
+    /// The pages of a transaction are stored.
+    pub(crate) fn pages_stored(&mut self, pages: Vec<Draft>, noted: Vec<Noted>, dead: Vec<u32>, ledger: u64) {
+        for d in pages {
+            let total = d.facts.iter().flat_map(|f| &f.n).map(|(_, len)| *len).sum();
+            let page = self.pages.all.entry(d.number).or_default();
+            (page.stamp, page.total) = (ledger, total);
+            if d.number >= self.pages.newest {
+                (self.pages.newest, self.pages.facts, self.pages.bytes) = (d.number, d.facts, d.bytes);
+            }
+        }
+        for n in noted {
+            let Some(job) = self.jobs.get_mut(&n.job) else { continue };
+            if job.facts.is_empty() {
+                job.facts = vec![0; job.spec.pieces as usize];
+            }
+            for (piece, touched) in n.pieces {
+                if job.pending.get(&piece) == Some(&touched) {
+                    job.pending.remove(&piece);
+                }
+                let Some(at) = job.facts.get_mut(piece as usize) else { continue };
+                let old = std::mem::replace(at, n.page);
+                self.pages.count(old, &n.job, -1);
+                self.pages.count(n.page, &n.job, 1);
+            }
+        }
+        for n in dead {
+            self.pages.all.remove(&n);
+        }
+    }
+
+    /// A job is over: what pages say of it counts no more.
+    pub(crate) fn forget_facts(&mut self, job: &Job) {
+        let on: BTreeSet<u32> = job.facts.iter().copied().filter(|p| *p > 0).collect();
+        for n in on {
+            if let Some(p) = self.pages.all.get_mut(&n)
+                && let Some(count) = p.jobs.remove(&job.id)
+            {
+                p.live = p.live.saturating_sub(count);
+            }
+        }
+    }
+
+    /// Takes in the pages that earlier leaders wrote, in order.
+    pub(crate) fn pages_read(&mut self, ctx: &Ctx, pairs: Vec<Pair>) {
+        let mut last: BTreeMap<Id, BTreeMap<u32, LastFact>> = BTreeMap::new();
+        for pair in pairs {
+            let Ok(number) = pair.path[keys::PAGES.len()..].parse::<u32>() else { continue };
+            let rec: PageRecord = serde_json::from_value(pair.v).unwrap_or_default();
+            let total = rec.e.iter().flat_map(|f| &f.n).map(|(_, len)| *len).sum();
+            self.pages.all.insert(number, Page { stamp: pair.stamp, total, ..Page::default() });
+            // What it holds is not written again: a new page follows.
+            self.pages.newest = self.pages.newest.max(number + 1);
+            for fact in rec.e {
+                let Some(job) = self.jobs.get_mut(fact.j.as_str()) else { continue };
+                let place = fact.m.map(|(loom, shift, attempt)| (Id::from(loom.as_str()), shift, attempt));
+                let facts = last.entry(job.id.clone()).or_default();
+                for (from, len) in fact.n {
+                    for piece in from..from.saturating_add(len).min(job.spec.pieces) {
+                        if fact.d {
+                            job.done.insert(piece);
+                        }
+                        facts.insert(piece, (number, place.clone()));
+                    }
+                }
+            }
+        }
+        for (id, facts) in last {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.done_count = job.done.count();
+                job.begun = true;
+                job.facts = vec![0; job.spec.pieces as usize];
+                for (piece, (number, _)) in &facts {
+                    job.facts[*piece as usize] = *number;
+                }
+            }
+            for (piece, (number, place)) in facts {
+                self.pages.count(number, &id, 1);
+                if let Some((loom, shift, attempt)) = place {
+                    self.placed_before(ctx, &id, &loom, shift, attempt, piece);
+                }
+            }
+        }
+    }
+}
+
+impl Pages {
+    fn count(&mut self, number: u32, job: &Id, change: i32) {
+        let Some(p) = self.all.get_mut(&number) else { return };
+        let n = p.jobs.entry(job.clone()).or_default();
+        *n = n.saturating_add_signed(change);
+        if *n == 0 {
+            p.jobs.remove(job);
+        }
+        p.live = p.live.saturating_add_signed(change);
+    }
+}
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -12,13 +12,17 @@
 use shaleshunt_wire::Room;
 use shaleshunt_wire::user::Urgency;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::ops::Bound;
 
 /// Most tasks stopped for others in one pass.
 const PREEMPTIONS: u32 = 8;
 
 /// A job's place in the queue, smallest first.
-type Rank = (Reverse<Urgency>, bool, u8, bool, u64, u64);
+type Rank = (bool, Reverse<Urgency>, bool, bool, u8, bool, u64, u64);
+
+/// How well a machine suits a job's next task, smallest first.
+type Fit = (bool, (u8, u8), bool, i64);
 
 /// What decides, zone rules aside, which machines a task may use.
 type Kind = (Room, bool, Option<String>, Option<Vec<String>>);
@@ -61,49 +65,72 @@
 
     /// Whether a further task of the job may be in this zone, given its other tasks.
     pub(crate) fn zone_fits(job: &Job, hall: &str) -> bool {
-        let here = job.zones.get(hall).copied().unwrap_or(0);
-        if here >= job.zone_cap() {
-            return false;
+        Self::zone_room(job, hall) > 0
+    }
+
+    /// How many further tasks of the job may be in this zone. Those of which the zone is not known
+    /// yet count everywhere.
+    pub(crate) fn zone_room(job: &Job, hall: &str) -> u32 {
+        let at = |z: &str| job.zones.get(z).copied().unwrap_or(0);
+        if job.spec.one_zone && job.zones.iter().any(|(z, &n)| n > 0 && z != hall) {
+            return 0;
         }
-        !job.spec.one_zone || job.zones.iter().all(|(z, &n)| n == 0 || z == hall)
+        job.zone_cap().saturating_sub(at(hall)).saturating_sub(at(""))
     }
 
-    fn team_allows(&self, ctx: &Ctx, job: &Job) -> bool {
-        let Some(team) = ctx.set.teams.get(&job.spec.crew) else { return false };
-        let mut used = self.teams.get(&job.spec.crew).copied().unwrap_or_default();
-        used.add(&job.need, 1);
-        team.allows(&used)
+    /// How many further tasks of the job its team's limit allows.
+    fn team_room(&self, ctx: &Ctx, job: &Job) -> u32 {
+        let Some(team) = ctx.set.teams.get(&job.spec.crew) else { return 0 };
+        let used = self.teams.get(&job.spec.crew).copied().unwrap_or_default();
+        team.room(&used, &job.need)
     }
 
     /// Jobs with tasks to place, in order: by urgency, in it the stages' deadline queues shortest
-    /// first, then the others by age. What can no longer meet its aim goes behind what can.
-    fn queue(&self, ctx: &Ctx) -> Vec<Id> {
+    /// first, then the others by age. What can no longer meet its aim goes behind what can, but for
+    /// a while only: a job of which nothing has begun for long goes first.
+    fn queue(&mut self, ctx: &Ctx) -> Vec<Id> {
         let now = ctx.now.mono;
-        let open = |j: &&Job| !j.aborted && !j.stale && now >= j.not_before && j.waiting() > 0;
-        let mut stages: BTreeMap<&str, Vec<&Job>> = BTreeMap::new();
-        for j in self.jobs.values().filter(open).filter(|j| !j.is_service() && j.due().is_none()) {
-            stages.entry(&j.spec.jobline).or_default().push(j);
+        if self.ranks_old || now >= self.ranks_at {
+            self.ranks_old = false;
+            self.ranks_at = now + (ctx.tune.round_s * 1000.0) as u64;
+            self.guaranteed = self.guaranteed(ctx);
+            self.behind = self.yielding(ctx);
         }
-        let mut behind: BTreeMap<&Id, u8> = BTreeMap::new();
-        for (stage, jobs) in stages {
-            self.yields(ctx, stage, jobs, &mut behind);
-        }
-        let guaranteed = self.guaranteed(ctx);
+        let begin = ctx.tune.begin_s * 1000.0;
         let mut list: Vec<(Rank, &Id)> = self
             .jobs
             .values()
-            .filter(open)
+            .filter(|j| !j.aborted && !j.stale && j.waiting() > 0 && now >= j.not_before)
             .map(|j| {
                 let plain = j.due().is_none();
                 let estimate = if plain { 0 } else { (self.estimate(j) * 1000.0) as u64 };
-                let group = behind.get(&j.id).copied().unwrap_or(0);
-                ((Reverse(j.spec.urgency), !guaranteed.contains(&j.id), group, plain, estimate, j.at), &j.id)
+                let group = self.behind.get(&j.id).copied().unwrap_or(0);
+                let age = if j.begun { 0.0 } else { ctx.now.wall.saturating_sub(j.at) as f64 };
+                let first = age > begin * 0.75 && j.placed == 0;
+                let aged = age > begin * 0.5;
+                let due = self.guaranteed.contains(&j.id);
+                ((!first, Reverse(j.spec.urgency), !aged, !due, group, plain, estimate, j.at), &j.id)
             })
             .collect();
         list.sort();
         list.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// For each stage of jobs without deadlines, which of them yield.
+    fn yielding(&self, ctx: &Ctx) -> BTreeMap<Id, u8> {
+        let now = ctx.now.mono;
+        let mut stages: BTreeMap<&str, Vec<&Job>> = BTreeMap::new();
+        let open = |j: &&Job| !j.aborted && !j.stale && now >= j.not_before && j.waiting() > 0;
+        for j in self.jobs.values().filter(open).filter(|j| !j.is_service() && j.due().is_none()) {
+            stages.entry(&j.spec.jobline).or_default().push(j);
+        }
+        let mut behind: BTreeMap<&Id, u8> = BTreeMap::new();
+        for (stage, jobs) in stages {
+            self.yields(ctx, stage, jobs, &mut behind);
+        }
+        behind.into_iter().map(|(id, level)| (id.clone(), level)).collect()
+    }
+
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
     fn guaranteed(&self, ctx: &Ctx) -> BTreeSet<Id> {
         let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.aborted).collect();
@@ -152,7 +179,7 @@
                 break;
             }
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.id.cmp(&b.1.id)));
-            let mut kept: Vec<(f64, &Job)> = Vec::new();
+            let mut kept: BinaryHeap<(u64, &Id)> = BinaryHeap::new();
             let mut total = before;
             let mut late: Vec<&Job> = Vec::new();
             for (t, j) in order {
@@ -162,16 +189,15 @@
                     late.push(j);
                     continue;
                 }
-                kept.push((work, j));
+                kept.push(((work * 1000.0) as u64, &j.id));
                 total += work;
                 // The last task starts when the work before it is under way and ends an estimate later.
-                if total > t - estimate * 0.5 && total > t - work.min(estimate) {
-                    let most = kept.iter().enumerate().max_by(|a, b| a.1.0.total_cmp(&b.1.0)).map(|(i, _)| i);
-                    if let Some(i) = most {
-                        let (work, j) = kept.remove(i);
-                        total -= work;
-                        late.push(j);
-                    }
+                if total > t - estimate * 0.5
+                    && total > t - work.min(estimate)
+                    && let Some((work, id)) = kept.pop()
+                {
+                    total -= work as f64 / 1000.0;
+                    late.extend(self.jobs.get(id));
                 }
             }
             for j in &late {
@@ -184,19 +210,13 @@
 
     /// A stage's slots on all machines that its jobs may use.
     fn all_slots(&self, ctx: &Ctx, stage: &str, job: &Job) -> i64 {
-        self.looms
+        let free: i64 = self
+            .looms
             .values()
             .filter(|m| m.usable(ctx.now.mono, &ctx.set) && Self::allows(job, &m.frame, &m.hall, m.borrowed))
-            .map(|m| {
-                let mut room = m.free();
-                for p in &m.places {
-                    if self.jobs.get(&p.job).is_some_and(|j| j.spec.jobline == stage) {
-                        room.add(&p.need, 1);
-                    }
-                }
-                room.times(&job.need, 100_000)
-            })
-            .sum()
+            .map(|m| m.free().times(&job.need, 100_000))
+            .sum();
+        free + self.held.get(stage).map_or(0, |h| h.all)
     }
 
     /// Places what can be placed.
@@ -204,48 +224,57 @@
         self.send_out(ctx);
         let now = ctx.now.mono;
         let queue = self.queue(ctx);
-        let guaranteed = self.guaranteed(ctx);
         // What found no room once finds none again in this pass.
         let mut full: Vec<Kind> = Vec::new();
         let mut stops = PREEMPTIONS;
         for id in queue {
-            if self.jobs.get(&id).is_some_and(|j| j.is_gang()) {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.is_gang() {
                 self.place_gang(ctx, &id);
                 continue;
             }
+            let mut most = job.waiting().min(self.team_room(ctx, job));
+            // A job that has only failed is tried with one task at a time, and so is one that waited
+            // for very long: others go on behind it.
+            let only_failed = job.failures >= 3 && job.done_count == 0 && !job.is_service();
+            if only_failed {
+                most = most.min(u32::from(job.live.is_empty()));
+            }
+            if most == 0 {
+                continue;
+            }
+            let s = &job.spec;
+            let kind = (job.need, s.borrowed, s.hall.clone(), s.frames.clone());
+            let free_choice = !s.one_zone && !s.scatter;
+            let seats = if full.contains(&kind) { Vec::new() } else { self.seats(ctx, job, most, None) };
+            if (seats.len() as u32) < most && free_choice && !full.contains(&kind) {
+                full.push(kind);
+            }
+            let (hasty, image) = (self.hasty(ctx, job), job.image);
+            let due = self.guaranteed.contains(&id);
+            let may_stop = due || job.spec.urgency > Urgency::Normal;
+            let attempt = self.next_attempt();
+            let mut seats = seats.into_iter();
             let mut from = 0;
-            while let Some(job) = self.jobs.get(&id) {
-                let Some(piece) = job.next_free(from) else { break };
-                if !self.team_allows(ctx, job) {
-                    break;
-                }
-                // A job that has only failed is tried with one task at a time.
-                if job.failures >= 3 && job.done_count == 0 && !job.live.is_empty() && !job.is_service() {
-                    break;
-                }
-                let s = &job.spec;
-                let kind = (job.need, s.borrowed, s.hall.clone(), s.frames.clone());
-                let free_choice = !s.one_zone && !s.scatter;
-                let mut loom = None;
-                if !full.contains(&kind) {
-                    loom = self.choose(ctx, job, None);
-                    if loom.is_none() && free_choice {
-                        full.push(kind);
-                    }
-                }
+            for _ in 0..most {
+                let Some(piece) = self.jobs.get(&id).and_then(|j| j.next_free(from)) else { break };
+                // Room made elsewhere may have taken what a zone could still have.
+                let fits = |l: &Id| {
+                    let hall = self.looms.get(l).map(|m| m.hall.as_str());
+                    self.jobs.get(&id).zip(hall).is_some_and(|(j, h)| Self::zone_fits(j, h))
+                };
+                let mut loom = seats.find(fits);
                 // Room without the image is as good as none where starts are to be quicker than a fetch.
-                let hasty = self.hasty(ctx, job);
-                let fetches = |m: &Loom| !m.has_image(&job.spec.bundle);
+                let fetches = |m: &Loom| !m.has_image(image);
                 let poor = hasty && loom.as_ref().and_then(|l| self.looms.get(l)).is_some_and(fetches);
-                let due = guaranteed.contains(&id);
-                if (loom.is_none() || poor) && stops > 0 && (due || job.spec.urgency > Urgency::Normal) {
-                    let made = self.make_room(ctx, &id, poor, &guaranteed);
-                    stops -= u32::from(made.is_some());
+                if (loom.is_none() || poor) && stops > 0 && may_stop {
+                    // Whether there is something to stop or not: looking takes its time.
+                    stops -= 1;
+                    let made = self.make_room(ctx, &id, poor);
                     loom = made.or(loom);
                 }
                 let Some(loom) = loom else { break };
                 from = piece + 1;
-                let attempt = self.next_attempt();
                 self.plan(now, &id, piece, &loom, attempt);
             }
         }
@@ -254,14 +283,17 @@
     /// Puts a plan for a task on a machine; nothing leaves before it is committed.
     fn plan(&mut self, now: u64, id: &Id, piece: u32, loom: &Id, attempt: u64) -> u64 {
         let slot = self.next_slot();
+        let Some(shift) = self.looms.get(loom).map(|m| m.shift) else { return slot };
         if let Some(job) = self.jobs.get_mut(id) {
             job.cursor = job.cursor.max(piece);
             let p = Placement {
                 job: id.clone(),
                 piece,
                 attempt,
+                shift,
                 slot,
                 need: job.need,
+                image: job.image,
                 stage: Stage::Planned,
                 sent: false,
                 since: now,
@@ -269,6 +301,7 @@
                 halt: None,
             };
             self.put(loom, p);
+            self.touch(now, id, piece, true);
         }
         slot
     }
@@ -279,79 +312,129 @@
         let now = ctx.now.mono;
         // Its tasks share an attempt, by which they find each other; so a gang that lost a task
         // starts anew when all have ended.
-        if self.jobs.get(id).is_none_or(|j| !j.live.is_empty()) {
+        let Some(job) = self.jobs.get(id).filter(|j| j.live.is_empty()) else { return };
+        let most = job.waiting();
+        if self.team_room(ctx, job) < most {
             return;
         }
-        let attempt = self.next_attempt();
-        let zones: Vec<Option<String>> = match self.jobs.get(id) {
-            Some(j) if j.spec.one_zone && j.spec.hall.is_none() => {
-                let zones: BTreeSet<String> = self.looms.values().map(|m| m.hall.clone()).collect();
-                zones.into_iter().map(Some).collect()
-            }
-            _ => vec![None],
+        let zones: Vec<Option<String>> = if job.spec.one_zone && job.spec.hall.is_none() {
+            let zones: BTreeSet<String> = self.looms.values().map(|m| m.hall.clone()).collect();
+            zones.into_iter().map(Some).collect()
+        } else {
+            vec![None]
         };
         for zone in zones {
-            let mut planned: Vec<(Id, u64)> = Vec::new();
+            let Some(job) = self.jobs.get(id) else { return };
+            let seats = self.seats(ctx, job, most, zone.as_deref());
+            if (seats.len() as u32) < most {
+                continue;
+            }
+            let attempt = self.next_attempt();
             let mut from = 0;
-            let whole = loop {
-                let Some(job) = self.jobs.get(id) else { break false };
-                let Some(piece) = job.next_free(from) else { break true };
-                let fits = self.team_allows(ctx, job);
-                let Some(loom) = self.choose(ctx, job, zone.as_deref()).filter(|_| fits) else { break false };
+            for loom in seats {
+                let Some(piece) = self.jobs.get(id).and_then(|j| j.next_free(from)) else { return };
                 from = piece + 1;
-                let slot = self.plan(now, id, piece, &loom, attempt);
-                planned.push((loom, slot));
-            };
-            if whole {
-                return;
+                self.plan(now, id, piece, &loom, attempt);
             }
-            let replan = self.replan;
-            for (loom, slot) in planned {
-                self.release(now, &loom, slot, false);
-            }
-            self.replan = replan;
+            return;
         }
     }
 
-    /// The machine for a job's next task: one that holds the image, then one that does not have to
-    /// be rented, then the fullest that still has room. Replicas keep apart.
-    fn choose(&self, ctx: &Ctx, job: &Job, zone: Option<&str>) -> Option<Id> {
+    /// Machines for up to `most` further tasks of a job, one entry a task, best first: one that holds
+    /// the image, one that does not have to be rented, the fullest that still has room. Replicas
+    /// keep apart. One look at the machines serves all the job's tasks.
+    fn seats(&self, ctx: &Ctx, job: &Job, most: u32, zone: Option<&str>) -> Vec<Id> {
+        struct Seat<'a> {
+            fit: Fit,
+            loom: &'a Loom,
+            times: u32,
+            mates: usize,
+        }
         let now = ctx.now.mono;
-        let cap = ctx.set.value_bytes() / 64;
-        let service = job.is_service();
+        let cap = shaleshunt_wire::MAX_BODY / 128;
+        let apart = job.is_service() || job.spec.scatter;
         let hasty = self.hasty(ctx, job);
-        self.looms
-            .values()
-            .filter(|m| m.free().fits(&job.need) && m.usable(now, &ctx.set) && m.places.len() < cap)
-            .filter(|m| job.failed_on.len() >= 3 || !job.failed_on.contains(&m.id))
-            .filter(|m| Self::allows(job, &m.frame, &m.hall, m.borrowed) && Self::zone_fits(job, &m.hall))
-            .filter(|m| (m.sick_times == 0 || m.places.is_empty()) && zone.is_none_or(|z| z == m.hall))
-            .min_by_key(|m| {
-                let mates = if service { m.places.iter().filter(|p| p.job == job.id).count() } else { 0 };
-                let zone = if service { job.zones.get(&m.hall).copied().unwrap_or(0) } else { 0 };
-                let coming = m.places.iter().any(|p| {
-                    p.running.is_none() && self.jobs.get(&p.job).is_some_and(|j| j.spec.bundle == job.spec.bundle)
-                });
-                let image = if m.has_image(&job.spec.bundle) {
-                    0
-                } else if coming {
-                    1
-                } else {
-                    2
+        let mut seats: Vec<Seat> = Vec::new();
+        for m in self.looms.values() {
+            if !m.free().fits(&job.need) || !m.usable(now, &ctx.set) || m.places.len() >= cap {
+                continue;
+            }
+            if !Self::allows(job, &m.frame, &m.hall, m.borrowed)
+                || job.failed_on.len() < 3 && job.failed_on.contains(&m.id)
+                || m.sick_times > 0 && !m.places.is_empty()
+                || zone.is_some_and(|z| z != m.hall)
+                || Self::zone_room(job, &m.hall) == 0
+            {
+                continue;
+            }
+            let coming = || m.places.iter().any(|p| p.running.is_none() && p.image == job.image);
+            let image = if m.has_image(job.image) {
+                0
+            } else if coming() {
+                1
+            } else {
+                2
+            };
+            // What is sent out goes to rented machines; the rest keeps off those that may be taken.
+            let kind = u8::from(m.borrowed != (job.sent_out && job.spec.borrowed));
+            let first = if hasty { (image, kind) } else { (kind, u8::from(image > 0)) };
+            let times = if m.sick_times > 0 { 1 } else { m.free().times(&job.need, i64::from(most)) as u32 };
+            let times = times.min((cap - m.places.len()) as u32);
+            let mates = if apart { m.places.iter().filter(|p| p.job == job.id).count() } else { 0 };
+            seats.push(Seat { fit: (m.sick_times > 0, first, !m.owned, m.free().cores), loom: m, times, mates });
+        }
+        let mut found = Vec::new();
+        if apart {
+            // Zones and machines are looked at anew for each task.
+            let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
+            for s in &seats {
+                let there = job.zones.get(&s.loom.hall).copied().unwrap_or(0);
+                zones.entry(&s.loom.hall).or_insert(there);
+            }
+            while (found.len() as u32) < most {
+                let caps = |hall: &str| {
+                    let more = zones[hall] - job.zones.get(hall).copied().unwrap_or(0);
+                    more < Self::zone_room(job, hall)
                 };
-                // What is sent out goes to rented machines; the rest keeps off those that may be taken.
-                let kind = m.borrowed != (job.sent_out && job.spec.borrowed);
-                let first = if hasty { (image, kind) } else { (u8::from(kind), image > 0) };
-                (m.sick_times > 0, first, mates, zone, !m.owned, m.free().cores, m.id.clone())
-            })
-            .map(|m| m.id.clone())
+                let best = seats.iter_mut().filter(|s| s.times > 0 && caps(&s.loom.hall)).min_by_key(|s| {
+                    let (sick, first, rented, free) = s.fit;
+                    (sick, first, s.mates, zones[s.loom.hall.as_str()], rented, free)
+                });
+                let Some(s) = best else { break };
+                s.times -= 1;
+                s.mates += 1;
+                *zones.entry(&s.loom.hall).or_default() += 1;
+                found.push(s.loom.id.clone());
+            }
+            return found;
+        }
+        if job.spec.one_zone && zone.is_none() {
+            // The zone with most room for it, unless some of it is somewhere already.
+            let mut room: BTreeMap<&str, u32> = BTreeMap::new();
+            for s in &seats {
+                *room.entry(&s.loom.hall).or_default() += s.times;
+            }
+            let best = room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string());
+            seats.retain(|s| Some(&s.loom.hall) == best.as_ref());
+        }
+        seats.sort_by_key(|s| s.fit);
+        for s in seats {
+            let left = most - found.len() as u32;
+            if left == 0 {
+                break;
+            }
+            found.extend((0..s.times.min(left)).map(|_| s.loom.id.clone()));
+        }
+        found
     }
 
     /// Stops less urgent tasks for one of this job: on the machine where the least run time is
     /// lost. A task that cannot save ends at once, so the new one starts with the same message.
-    fn make_room(&mut self, ctx: &mut Ctx, id: &Id, with_image: bool, guaranteed: &BTreeSet<Id>) -> Option<Id> {
+    /// With many machines a sample of them is looked at, another one each time.
+    fn make_room(&mut self, ctx: &mut Ctx, id: &Id, with_image: bool) -> Option<Id> {
         let now = ctx.now.mono;
         let job = self.jobs.get(id)?;
+        let guaranteed = &self.guaranteed;
         // Less urgent work; or, for a team's guarantee, what another team runs beyond its own.
         let borrows = |crew: &str| {
             let used = self.teams.get(crew).copied().unwrap_or_default();
@@ -364,16 +447,25 @@
             j.spec.mark_every_s <= 0.0 && (j.spec.urgency < job.spec.urgency || back)
         };
         let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
-        for m in self.looms.values() {
+        let mut looked = 0;
+        let begin = self.sample_from.clone().map_or(Bound::Unbounded, Bound::Excluded);
+        let all = self.looms.range::<Id, _>((begin, Bound::Unbounded)).chain(self.looms.iter());
+        let mut last = None;
+        for (id, m) in all.take(self.looms.len()) {
+            if looked >= ctx.tune.sample as u32 {
+                break;
+            }
+            last = Some(id);
             if !m.usable(now, &ctx.set)
                 || m.sick_times > 0
                 || !Self::allows(job, &m.frame, &m.hall, m.borrowed)
                 || !Self::zone_fits(job, &m.hall)
                 || !m.room.fits(&job.need)
-                || with_image && !m.has_image(&job.spec.bundle)
+                || with_image && !m.has_image(job.image)
             {
                 continue;
             }
+            looked += 1;
             let mut victims: Vec<(u64, &Placement)> = m
                 .places
                 .iter()
@@ -394,7 +486,7 @@
                 list.push(p.slot);
             }
             // A fetch would cost the start more than it saves.
-            let rank = (!m.has_image(&job.spec.bundle), lost);
+            let rank = (!m.has_image(job.image), lost);
             // In place of a mere fetch, not more than a few times what the fetch takes is thrown away.
             if with_image && !job.is_service() && lost as f64 > self.fetch_s(ctx, job) * 2000.0 {
                 continue;
@@ -403,6 +495,8 @@
                 best = Some((rank, m.id.clone(), list));
             }
         }
+        let last = last.cloned();
+        self.sample_from = last;
         let (_, loom, victims) = best?;
         ctx.log(Severity::Debug, format!("machine {loom}: {} tasks make room for {id}", victims.len()));
         for slot in victims {
@@ -464,18 +558,8 @@
 
     /// A stage's owned slots: its tasks that fit in owned room now free or held by it.
     fn slots(&self, stage: &str, need: &Room) -> i64 {
-        self.looms
-            .values()
-            .filter(|m| m.owned && m.heard.is_some())
-            .map(|m| {
-                let mut room = m.free();
-                for p in &m.places {
-                    if self.jobs.get(&p.job).is_some_and(|j| j.spec.jobline == stage) {
-                        room.add(&p.need, 1);
-                    }
-                }
-                room.times(need, 100_000)
-            })
-            .sum()
+        let free: i64 =
+            self.looms.values().filter(|m| m.owned && m.heard.is_some()).map(|m| m.free().times(need, 100_000)).sum();
+        free + self.held.get(stage).map_or(0, |h| h.owned)
     }
 }
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -7,7 +7,7 @@
 use shaleshunt_wire::cloud::{Hire, Listed, ListedStatus};
 use shaleshunt_wire::user::Shape;
 use shaleshunt_wire::{MAX_HIRE, MAX_RETURN, Room};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// A machine that has not come up after so many times its type's usual boot time is returned.
 const NEVER_BOOTS: f64 = 4.0;
@@ -70,7 +70,7 @@
                     }
                     _ => {
                         self.listing = false;
-                        self.list_at = now + ((ctx.set.list_lag_s.max(1.0) * 1000.0) as u64);
+                        self.list_at = now + ((ctx.set.list_lag_s.max(1.0) * 2000.0) as u64);
                         let list = std::mem::take(&mut self.list_seen);
                         self.listed(ctx, list);
                     }
@@ -104,14 +104,31 @@
             self.release(ctx.now.mono, id, slot, false);
         }
         if let Some(m) = self.looms.remove(id) {
-            ctx.log(Severity::Info, format!("machine {id} returned"));
-            if m.stamp > 0 || m.writing {
-                self.gone.insert(id.clone(), m.stamp);
+            ctx.log(Severity::Debug, format!("machine {id} returned"));
+            self.confirming -= u32::from(m.confirms);
+            if let Some(b) = m.block.and_then(|n| self.blocks.get_mut(&n)) {
+                b.looms.remove(id);
+                b.dirty = true;
+                self.dirty_blocks.extend(m.block);
             }
         }
         self.replan = true;
     }
 
+    /// Whether a machine is owned became known.
+    fn set_owned(&mut self, id: &Id, owned: bool) {
+        let Some(m) = self.looms.get_mut(id).filter(|m| m.owned != owned) else { return };
+        m.owned = owned;
+        if let Some(n) = m.block {
+            self.dirty_blocks.insert(n);
+        }
+        for p in &m.places {
+            if let Some(held) = self.jobs.get(&p.job).and_then(|j| self.held.get_mut(&j.spec.jobline)) {
+                held.owned += if owned { 1 } else { -1 };
+            }
+        }
+    }
+
     /// Takes in the cloud's list. It proves nothing about what is gone.
     fn listed(&mut self, ctx: &mut Ctx, list: Vec<Listed>) {
         // The service begins: what is up now is owned. Lists lag: an empty one counts only after
@@ -129,9 +146,6 @@
         }
         for x in list {
             let id: Id = x.id.as_str().into();
-            if self.gone.contains_key(&id) {
-                continue;
-            }
             let owned = self.owned.as_ref().is_some_and(|o| o.contains(&x.id));
             if !self.looms.contains_key(&id) {
                 // Lists lag: a machine that we returned lately may still be shown. It is taken for
@@ -139,12 +153,11 @@
                 let mut m = self.new_loom(ctx, &id, &x.frame, &x.hall, x.borrowed, owned);
                 m.hired = ctx.now.wall.saturating_sub((x.age_s.clamp(0.0, 1e9) * 1000.0) as u64);
                 // Known by list only: recorded when it reports.
-                m.dirty = false;
                 self.looms.insert(id.clone(), m);
             }
+            self.set_owned(&id, owned);
             let Some(m) = self.looms.get_mut(&id) else { continue };
             m.listed = true;
-            m.owned = owned;
             if m.endpoint.is_empty() {
                 m.endpoint = x.endpoint;
             }
@@ -191,8 +204,9 @@
                 for id in ids {
                     if !self.looms.contains_key(&id) {
                         let m = self.new_loom(ctx, &id, &hire.frame, &hire.hall, hire.borrowed, false);
-                        self.looms.insert(id, m);
+                        self.looms.insert(id.clone(), m);
                     }
+                    self.join_block(ctx, &id);
                 }
             }
             Ok(CloudReply::NoCapacity) => {
@@ -213,19 +227,23 @@
     /// How long a job's tasks wait for owned room before room is rented for them. A deadline job
     /// rents when its slack says so. Others wait, but no longer than their class's aim leaves once
     /// a machine's boot is counted.
-    fn rents(&self, ctx: &Ctx, job: &Job, boot_s: f64) -> bool {
+    fn rents(&self, ctx: &Ctx, job: &Job, boot_s: f64, known: &mut BTreeMap<(Room, i64), i64>) -> bool {
         if job.due().is_some() && job.sent_out {
             return true;
         }
         // Room that is not there at all, or too little for tasks that run together, is not worth
         // waiting for.
         let together = if job.spec.shape == Shape::Array { 1 } else { i64::from(job.spec.pieces) };
-        let all: i64 = self
-            .looms
-            .values()
-            .filter(|m| !m.leaving && Self::allows(job, &m.frame, &m.hall, m.borrowed))
-            .map(|m| m.room.times(&job.need, together))
-            .sum();
+        let count = || -> i64 {
+            self.looms
+                .values()
+                .filter(|m| !m.leaving && Self::allows(job, &m.frame, &m.hall, m.borrowed))
+                .map(|m| m.room.times(&job.need, together))
+                .sum()
+        };
+        let free_choice = job.spec.frames.is_none() && job.spec.hall.is_none();
+        let kind = (job.need, together * if job.spec.borrowed { -1 } else { 1 });
+        let all = if free_choice { *known.entry(kind).or_insert_with(count) } else { count() };
         if all < together {
             return true;
         }
@@ -275,49 +293,68 @@
             }
         }
         // The fullest first, so that a machine that is not needed stays empty and goes back.
+        spaces.retain(|s| s.free.cores > 0 && s.free.ram > 0);
         spaces.sort_by_key(|s| s.free.cores);
         let mut wanted: Vec<(Hire, Room)> = Vec::new();
         let mut team_used = self.teams.clone();
-        let mut budget = ctx.tune.hires_per_round as u32;
+        let calls = (ctx.set.cloud_rps * ctx.tune.round_s * ctx.tune.hire_share).max(1.0) as u32;
+        let mut budget = calls * MAX_HIRE;
+        let mut there: BTreeMap<(String, bool), u32> = BTreeMap::new();
+        for m in self.looms.values() {
+            *there.entry((m.hall.clone(), m.borrowed)).or_default() += 1;
+        }
         // What arrived within a while is expected to arrive again: room for it is kept, so that work
         // does not wait for machines to boot. Real demand goes first.
         let window = boot_s * ctx.tune.reserve_boots * 1000.0;
         self.arrivals.retain(|(at, _)| now.saturating_sub(*at) as f64 <= window);
-        let real = self.jobs.values().filter(|j| !j.aborted && j.not_before <= now && self.rents(ctx, j, boot_s));
+        let mut room_for: BTreeMap<(Room, i64), i64> = BTreeMap::new();
+        let real = self.jobs.values().filter(|j| !j.aborted && j.not_before <= now && j.waiting() > 0);
+        let real = real.filter(|j| self.rents(ctx, j, boot_s, &mut room_for)).collect::<Vec<_>>();
         let ghosts = self.arrivals.iter().map(|(_, j)| j);
-        for job in real.chain(ghosts) {
+        for job in real.into_iter().chain(ghosts) {
             let Some(team) = ctx.set.teams.get(&job.spec.crew) else { continue };
-            for _ in 0..job.waiting() {
-                let used = team_used.entry(job.spec.crew.clone()).or_default();
-                let mut more = *used;
-                more.add(&job.need, 1);
-                if !team.allows(&more) {
+            let used = team_used.entry(job.spec.crew.clone()).or_default();
+            let mut left = job.waiting().min(team.room(used, &job.need));
+            let mut zones: BTreeMap<String, u32> = BTreeMap::new();
+            for s in &mut spaces {
+                if left == 0 {
                     break;
                 }
-                let space = spaces.iter_mut().find(|s| {
-                    s.free.fits(&job.need)
-                        && Self::allows(job, &s.frame, &s.hall, s.borrowed)
-                        && Self::zone_fits(job, &s.hall)
-                });
-                if let Some(s) = space {
-                    s.free.add(&job.need, -1);
-                    *used = more;
-                    needed.extend(s.loom.take());
+                let fits = s.free.fits(&job.need) && Self::allows(job, &s.frame, &s.hall, s.borrowed);
+                if !fits {
                     continue;
                 }
-                if budget == 0 {
-                    break;
+                let mut n = s.free.times(&job.need, i64::from(left)) as u32;
+                if job.spec.scatter || job.spec.one_zone {
+                    let taken = zones.get(s.hall.as_str()).copied().unwrap_or(0);
+                    n = n.min(Self::zone_room(job, &s.hall).saturating_sub(taken));
+                    let elsewhere = zones.iter().any(|(z, n)| *n > 0 && *z != s.hall);
+                    if n == 0 || job.spec.one_zone && elsewhere {
+                        continue;
+                    }
+                    *zones.entry(s.hall.clone()).or_default() += n;
                 }
-                let Some((frame, hall, borrowed)) = self.cheapest(ctx, job, &catalog, &wanted) else { break };
+                s.free.add(&job.need, -i64::from(n));
+                used.add(&job.need, i64::from(n));
+                left -= n;
+                needed.extend(s.loom.take());
+            }
+            while left > 0 && budget > 0 {
+                let Some((frame, hall, borrowed)) = self.cheapest(ctx, job, &catalog, &there) else { break };
                 let room = catalog.frame(&frame).map(|f| f.room()).unwrap_or_default();
+                let n = (room.times(&job.need, i64::from(left)) as u32).min(Self::zone_room(job, &hall)).max(1);
                 let mut free = room;
-                free.add(&job.need, -1);
+                free.add(&job.need, -i64::from(n));
                 spaces.push(Space { frame: frame.clone(), hall: hall.clone(), borrowed, free, loom: None });
-                *used = more;
+                used.add(&job.need, i64::from(n));
+                left = left.saturating_sub(n);
                 budget -= 1;
+                *there.entry((hall.clone(), borrowed)).or_default() += 1;
                 let same = |h: &Hire| h.frame == frame && h.hall == hall && h.borrowed == borrowed;
+                let many = wanted.len() as u32 >= calls.max(3);
                 match wanted.iter_mut().find(|(h, _)| same(h) && h.count < MAX_HIRE) {
                     Some((h, _)) => h.count += 1,
+                    None if many => break,
                     None => wanted.push((Hire { hire: String::new(), frame, hall, borrowed, count: 1 }, room)),
                 }
             }
@@ -342,7 +379,7 @@
         ctx: &Ctx,
         job: &Job,
         catalog: &shaleshunt_wire::cloud::Catalog,
-        wanted: &[(Hire, Room)],
+        there: &BTreeMap<(String, bool), u32>,
     ) -> Option<Place> {
         let mut best: Option<((i64, u32), Place)> = None;
         for f in catalog.frames.iter().filter(|f| f.room().fits(&job.need)) {
@@ -354,14 +391,7 @@
                         continue;
                     }
                     let price = if borrowed && f.market_price > 0.0 { f.market_price } else { f.price };
-                    let there =
-                        self.looms.values().filter(|m| m.hall == *hall && m.borrowed == borrowed).count() as u32;
-                    let coming: u32 = wanted
-                        .iter()
-                        .filter(|(h, _)| h.hall == *hall && h.borrowed == borrowed)
-                        .map(|(h, _)| h.count)
-                        .sum();
-                    let rank = ((price * 1000.0) as i64, there + coming);
+                    let rank = ((price * 1000.0) as i64, there.get(&(hall.clone(), borrowed)).copied().unwrap_or(0));
                     if best.as_ref().is_none_or(|(b, _)| rank < *b) {
                         best = Some((rank, place));
                     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -17,6 +17,15 @@
     pub fn allows(&self, used: &Room) -> bool {
         (self.limit.0 == 0 || used.cores <= self.limit.0) && (self.limit.1 == 0 || used.cards <= self.limit.1)
     }
+    /// How many times `need` fits between `used` and the limit.
+    pub fn room(&self, used: &Room, need: &Room) -> u32 {
+        let part = |limit: i64, used: i64, need: i64| match (limit, need) {
+            (0, _) | (_, 0) => i64::from(u32::MAX),
+            _ => (limit - used).max(0) / need,
+        };
+        let times = part(self.limit.0, used.cores, need.cores).min(part(self.limit.1, used.cards, need.cards));
+        times as u32
+    }
     /// Whether `used` is within the guarantee.
     pub fn guarantees(&self, used: &Room) -> bool {
         used.cores <= self.guarantee.0 && used.cards <= self.guarantee.1
@@ -124,14 +133,23 @@
     round_s = "rent.round-s": 1.0, 0.1, 60.0;
     /// A rented machine without work goes back after this time.
     idle_s = "rent.idle-s": 45.0, 1.0, 86400.0;
-    /// Most machines asked for in one round.
-    hires_per_round = "rent.machines-per-round": 12.0, 1.0, 50.0;
+    /// Share of the cloud's request rate that hires use.
+    hire_share = "rent.call-share": 0.4, 0.01, 1.0;
+    /// A job of which nothing has begun after half of this time goes before others of its urgency,
+    /// and after three quarters one task of it goes before everything.
+    begin_s = "queue.begin-within-s": 240.0, 1.0, 86400.0;
+    /// Machines looked at, as a sample, when less urgent work is to make room.
+    sample = "queue.sample": 64.0, 1.0, 100000.0;
+    /// Passes over the queue in a reporting interval, at most.
+    passes = "queue.passes-per-report": 80.0, 1.0, 1000.0;
     /// Term of a block of owned machines.
     block_term_s = "block.term-s": 30.0, 1.0, 600.0;
     /// The leader's lease at the state service, in reporting intervals of the workers.
     lead_life = "lead.life-reports": 0.7, 0.2, 10.0;
     /// Share of the state service's write rate that the leader uses.
     write_share = "state.write-share": 0.7, 0.1, 1.0;
+    /// Share of the state service's request rate that the leader's transactions use.
+    request_share = "state.request-share": 0.2, 0.01, 1.0;
     /// A rented machine silent for so many reporting intervals is returned.
     silent_reports = "floor.silent-reports": 3.0, 2.0, 100.0;
     /// A machine that failed is tried again after this time, doubled each time.
@@ -154,9 +172,13 @@
     pub fn report_ms(&self) -> u64 {
         (self.report_s * 1000.0) as u64
     }
-    /// Tasks whose outcomes are kept in one key: a bitmap of a third of the value's limit.
-    pub fn chunk_pieces(&self) -> u32 {
-        ((self.value_kb * 1024.0 * 2.0) as u32 / 64 * 64).max(64)
+    /// Bytes of a page of facts: half of a value, so that writing the newest one again stays cheap.
+    pub fn page_bytes(&self) -> usize {
+        self.value_bytes() / 2
+    }
+    /// Machines that are kept in one key.
+    pub fn block_looms(&self) -> usize {
+        (self.value_bytes() / 360).max(1)
     }
     /// Bytes that one value may have, with room for its frame.
     pub fn value_bytes(&self) -> usize {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -43,7 +43,7 @@
 /// Most commands waiting.
 const QUEUE: usize = 4096;
 /// Memory that one connection may come to, in KiB.
-const CONNECTION_KIB: f64 = 48.0;
+const CONNECTION_KIB: f64 = 20.0;
 /// Share of the state service's rate that one node's reads for users may take.
 const READ_SHARE: f64 = 0.6;
 
@@ -72,7 +72,7 @@
     let back = TcpListener::bind(&wiring.back).await?;
     let report = Duration::from_secs_f64(settings.report_s);
     let patience = report.mul_f64(0.4);
-    let by_memory = (settings.mem_mb * 1024.0 / 3.0 / CONNECTION_KIB) as usize;
+    let by_memory = (settings.mem_mb * 1024.0 / 2.0 / CONNECTION_KIB) as usize;
     let limits = server::Limits {
         connections: (wiring.sockets * 3 / 4).min(by_memory).max(16),
         patience: Duration::from_secs_f64(shaleshunt_wire::SUBMIT_PATIENCE_S * 6.0),
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -126,7 +126,13 @@
                     s.capacity.push(place);
                 }
                 "machines" => s.machines.push((w.next()?.into(), w.next()?.into(), w.number()?)),
-                "job" => s.jobs.push(job(&mut w)?),
+                "job" => {
+                    let (spec, at, withdraw, copies) = job(&mut w)?;
+                    for n in 1..=copies {
+                        let id = if copies > 1 { format!("{}-{n}", spec.id) } else { spec.id.clone() };
+                        s.jobs.push((Submission { id, ..spec.clone() }, at, withdraw));
+                    }
+                }
                 "at" => {
                     let at = w.ms()?;
                     let t = trouble(&mut w)?;
@@ -290,7 +296,7 @@
     Ok(f)
 }
 
-fn job(w: &mut Words) -> Result<(Submission, u64, Option<u64>), BadLine> {
+fn job(w: &mut Words) -> Result<(Submission, u64, Option<u64>, u32), BadLine> {
     let mut s = Submission {
         id: w.next()?.into(),
         jobline: "work".into(),
@@ -315,13 +321,14 @@
     };
     w.word("at")?;
     let at = w.ms()?;
-    let mut withdraw = None;
+    let (mut withdraw, mut copies) = (None, 1);
     while !w.0.is_empty() {
         match w.next()? {
             "array" => s.shape = Shape::Array,
             "service" => (s.shape, s.expect_s) = (Shape::Daemon, 0.0),
             "gang" => s.shape = Shape::Ensemble,
             "pieces" => s.pieces = w.number()?,
+            "copies" => copies = w.number()?,
             "cores" => s.cores = w.number()?,
             "ram" => s.ram_gb = w.number()?,
             "run" => s.expect_s = w.number()?,
@@ -341,7 +348,7 @@
             other => return w.fail(format!("no such word of a job: {other}")),
         }
     }
-    Ok((s, at, withdraw))
+    Ok((s, at, withdraw, copies))
 }
 
 fn trouble(w: &mut Words) -> Result<Trouble, BadLine> {
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -2,9 +2,13 @@
 
 use serde_json::Value;
 use shaleshunt_core::{IoError, StateReply, StateRequest};
+use shaleshunt_wire::MAX_BODY;
 use shaleshunt_wire::state::{Change, News, Page, Pair, Txn, Write};
 use std::collections::BTreeMap;
 
+/// Longest value.
+const VALUE_BYTES: usize = 16 * 1024;
+
 /// A watch that waits.
 #[derive(Debug)]
 pub struct Watch {
@@ -88,6 +92,12 @@
     }
 
     fn txn(&mut self, txn: Txn) -> Result<StateReply, IoError> {
+        // What is too large is rejected, as the limits have it.
+        let text = |v: &Value| v.to_string().len();
+        let too_long = |w: &Write| matches!(w, Write::Set { v, .. } if text(v) > VALUE_BYTES);
+        if serde_json::to_string(&txn).map_or(0, |t| t.len()) > MAX_BODY || txn.writes.iter().any(too_long) {
+            return Err(IoError::Rejected("too large".into()));
+        }
         let failed: Vec<String> = txn
             .conditions
             .iter()
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -67,7 +67,7 @@
 }
 
 /// Resources that a task takes or a machine has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Hash)]
 pub struct Room {
     /// CPUs, in thousandths.
     pub cores: Milli,
