Zone cuts: nothing goes into a silent zone, and its controller keeps its machines' leases

First change: a zone from which nobody reports while others do gets nothing new; what never left for a machine goes elsewhere at once; one failed call is enough to leave a machine alone.

Second change: blocks. While a controller does not hear the leader, it answers the check-ins of its zone's machines, with the token they have seen, starting nothing and stopping what it knows to be cancelled, for a term of cancel_s - lease_s less a margin since the leader surely led and no cancellation was missed. The leader and the next one count on it before they release anything of a silent machine.

Scenarios: each fails without what it guards (keeping, the leader's waiting, the end of the term).

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -373,7 +373,7 @@
             return self.gather_facts(ctx, f, id);
         }
         // It ends when every placement of it has been proven gone.
-        if !f.takes(2, 2, 300 + f.drafted()) {
+        if !f.takes(3, 3, 400 + f.drafted()) {
             return false;
         }
         let path = format!("{}{id}", keys::JOBS);
@@ -384,6 +384,10 @@
         }
         let rec = FinalRecord { x: job.aborted, n: job.spec.pieces };
         f.txn.set(format!("{}{id}", keys::FINALS), 0, json!(rec), 30);
+        if job.cancel_key {
+            // Written with the job's record, so of the same revision.
+            f.txn.drop_key(format!("{}{id}", keys::CANCELLED), job.stamp);
+        }
         f.finals.push(id.clone());
         true
     }
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -9,7 +9,7 @@
 use crate::model::*;
 use crate::node::Ctx;
 use shaleshunt_wire::worker::*;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most commands in one message, so that no line grows too long.
 const MAX_ORDERS: usize = 300;
@@ -60,6 +60,15 @@
         }
         m.last = (r.shift, r.tick);
         m.heard = Some(now);
+        if checkin {
+            m.cut = false;
+            match self.zones_heard.get_mut(&m.hall) {
+                Some(z) => z.0 = now,
+                None => {
+                    self.zones_heard.insert(m.hall.clone(), (now, 1));
+                }
+            }
+        }
         if m.hall.is_empty() {
             // Known so far only by a record of a placement.
             (m.frame, m.hall, m.borrowed) = (r.frame, r.hall, r.borrowed);
@@ -291,6 +300,7 @@
         let Some(m) = self.looms.get_mut(loom) else { return Vec::new() };
         let mut halts = Vec::new();
         let mut runs = Vec::new();
+        let mut first = Vec::new();
         for p in &mut m.places {
             let piece = || format!("{}/{}", p.job, p.piece);
             match (p.halt, p.stage) {
@@ -310,12 +320,20 @@
                 // a report that lacks it.
                 (None, Stage::Committed) if p.sent && !answering => {}
                 (None, Stage::Committed) => {
+                    if answering {
+                        m.call_runs.retain(|slot| *slot != p.slot);
+                    } else if !p.sent {
+                        first.push(p.slot);
+                    }
                     p.sent = true;
                     runs.push(Order::Run { piece: piece(), attempt: p.attempt });
                 }
                 (None, _) => {}
             }
         }
+        if !answering {
+            m.call_runs = first;
+        }
         let settled = answering && m.call.is_none();
         for (piece, attempt, cause) in &m.strangers {
             let (piece, attempt) = (piece.clone(), *attempt);
@@ -351,7 +369,10 @@
         }
         for id in std::mem::take(&mut self.push) {
             let Some(m) = self.looms.get_mut(&id) else { continue };
-            if m.call.is_some() {
+            if m.cut && m.call.is_none() {
+                // What has not left would only wait there.
+                self.take_back(now, &id);
+            } else if m.call.is_some() {
                 m.push = true;
             } else if now < m.call_after {
                 self.push_later.insert((m.call_after, id));
@@ -424,7 +445,12 @@
                 let pause = ctx.set.report_ms() / 3 * u64::from(1u32 << (m.deaf - 1).min(3));
                 m.call_after = now + pause;
                 again = true;
-                if e != IoError::NotSent && m.risky {
+                if e == IoError::NotSent {
+                    // What was in it never left; others can have it.
+                    let never = std::mem::take(&mut m.call_runs);
+                    m.places.iter_mut().filter(|p| never.contains(&p.slot)).for_each(|p| p.sent = false);
+                    self.take_back(now, loom);
+                } else if m.risky {
                     // It may be executed minutes later. A higher token makes the machine refuse it;
                     // until a report confirms that token, nothing here is released or forgotten.
                     m.bump += 1;
@@ -437,6 +463,50 @@
         }
     }
 
+    /// Releases what was to go to a machine and has not left.
+    fn take_back(&mut self, now: u64, loom: &Id) {
+        let Some(m) = self.looms.get(loom) else { return };
+        let unsent = |p: &&Placement| !p.sent && p.stage == Stage::Committed;
+        let slots: Vec<u64> = m.places.iter().filter(unsent).map(|p| p.slot).collect();
+        for slot in slots {
+            self.release(now, loom, slot, false);
+        }
+    }
+
+    /// A zone from which nobody reports while others do is cut off: nothing new goes there. Where
+    /// many machines report, that shows long before any one of them is overdue.
+    pub(crate) fn watch_zones(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        let report = ctx.set.report_ms();
+        let gap = |n: u32| (report / 5).max(report * 8 / u64::from(n.max(1)));
+        let newest = self.zones_heard.values().map(|z| z.0).max().unwrap_or(0);
+        if now.saturating_sub(newest) > report / 10 {
+            // Nobody reports at all: it is us.
+            return;
+        }
+        let silent: BTreeSet<String> = self
+            .zones_heard
+            .iter()
+            .filter(|(_, (at, n))| now.saturating_sub(*at) > gap(*n))
+            .map(|(z, _)| z.clone())
+            .collect();
+        if silent == self.zones_cut {
+            return;
+        }
+        for z in silent.difference(&self.zones_cut) {
+            ctx.log(Severity::Info, format!("zone {z} is silent: nothing new goes there"));
+        }
+        self.zones_cut = silent;
+        for m in self.looms.values_mut() {
+            let cut = self.zones_cut.contains(&m.hall) && m.heard.is_some();
+            if cut && !m.cut && m.places.iter().any(|p| !p.sent) {
+                self.push.insert(m.id.clone());
+            }
+            m.cut = cut;
+        }
+        self.replan = true;
+    }
+
     /// A machine that is going away: what cannot finish in time is stopped, to go on elsewhere.
     fn drain(&mut self, ctx: &Ctx, loom: &Id) {
         let now = ctx.now.mono;
@@ -458,11 +528,30 @@
         }
     }
 
+    /// Whether no controller in a zone can still keep the lease of a machine last heard at a time:
+    /// each has said, a lease later, that it kept none since; or it has not heard from us for so
+    /// long that its term is over, and a lease as well.
+    fn not_kept(ctx: &Ctx, hall: &str, heard: u64) -> bool {
+        let (now, lease) = (ctx.now.mono, ctx.set.lease_over_ms());
+        ctx.keepers.values().filter(|k| k.hall == hall || hall.is_empty()).all(|k| {
+            let said = k.sent_after >= heard.max(k.kept) + lease;
+            let over = now > heard.max(k.heard + ctx.set.blind_ms()) + lease;
+            said || over
+        })
+    }
+
     /// Machines that have gone silent.
     pub(crate) fn watch_floor(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
         let set = ctx.set.clone();
         let mut silent: Vec<Id> = Vec::new();
+        let mut there: BTreeMap<&str, u32> = BTreeMap::new();
+        for m in self.looms.values().filter(|m| m.heard.is_some_and(|h| now - h < set.lease_over_ms())) {
+            *there.entry(&m.hall).or_default() += 1;
+        }
+        for (zone, z) in &mut self.zones_heard {
+            z.1 = there.get(zone.as_str()).copied().unwrap_or(0);
+        }
         for m in self.looms.values() {
             if m.places.is_empty() {
                 continue;
@@ -471,7 +560,7 @@
             // that leader could go without news of this epoch.
             let heard = m.heard.unwrap_or(0);
             let last = if m.ours { heard } else { heard.max(self.took_at + set.blind_ms()) };
-            if now.saturating_sub(last) > set.lease_over_ms() {
+            if now.saturating_sub(last) > set.lease_over_ms() && Self::not_kept(ctx, &m.hall, heard) {
                 silent.push(m.id.clone());
             }
         }
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -164,7 +164,7 @@
                     self.read(ctx, asked);
                     continue;
                 }
-                let v = json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false });
+                let v = json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false, k: false });
                 bytes += v.to_string().len() + key.len() * 3 + 64;
                 if bytes > MAX_BODY * 7 / 8 && !batch.is_empty() {
                     self.queue.push_front(p);
@@ -218,9 +218,16 @@
                         ctx.answer(asked.id, Answer::Job(200, view));
                     } else if asked.why == Why::Withdraw {
                         let key = format!("{}{}", keys::JOBS, asked.job);
+                        let cancel = format!("{}{}", keys::CANCELLED, asked.job);
                         let txn = Txn {
-                            conditions: vec![Condition { path: key.clone(), stamp: pair.stamp }],
-                            writes: vec![Write::set(key, json!(JobRecord { x: true, ..rec }))],
+                            conditions: vec![
+                                Condition { path: key.clone(), stamp: pair.stamp },
+                                Condition { path: cancel.clone(), stamp: 0 },
+                            ],
+                            writes: vec![
+                                Write::set(key, json!(JobRecord { x: true, k: true, ..rec })),
+                                Write::set(cancel, json!(true)),
+                            ],
                         };
                         ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Withdraw(asked)));
                     } else {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -120,6 +120,10 @@
     pub(crate) guaranteed: BTreeSet<Id>,
     /// Where the next sample of machines begins.
     pub(crate) sample_from: Option<Id>,
+    /// By zone: when last a machine in it reported, and how many do.
+    pub(crate) zones_heard: BTreeMap<String, (u64, u32)>,
+    /// Zones from which nobody reports.
+    pub(crate) zones_cut: BTreeSet<String>,
     pub(crate) plan_at: u64,
     floor_at: u64,
     told_at: u64,
@@ -194,6 +198,8 @@
             behind: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
             sample_from: None,
+            zones_heard: BTreeMap::new(),
+            zones_cut: BTreeSet::new(),
             plan_at: now,
             floor_at: now,
             told_at: now,
@@ -453,7 +459,8 @@
     fn watch(&mut self, ctx: &mut Ctx) {
         self.watch_at = None;
         let after = self.watch_from.unwrap_or(0);
-        let hold_ms = ctx.set.report_ms();
+        // Short: what is known of cancellations bounds how long leases may be renewed in a cut.
+        let hold_ms = ctx.set.report_ms() / 8;
         let wait = self.wait(LeadWait::Watch);
         ctx.state(StateRequest::Watch { prefix: keys::JOBS.into(), after, hold_ms }, wait);
     }
@@ -472,6 +479,7 @@
             Some(job) => {
                 job.stamp = stamp;
                 job.stale = false;
+                job.cancel_key = rec.k;
                 let id = job.id.clone();
                 if rec.x && !job.aborted {
                     job.aborted = true;
@@ -588,6 +596,7 @@
         self.rounds(ctx);
         if self.replan && now >= self.plan_at {
             self.replan = false;
+            self.watch_zones(ctx);
             self.plan_at = now + (ctx.set.report_s * 1000.0 / ctx.tune.passes) as u64;
             self.schedule(ctx);
         }
@@ -661,7 +670,9 @@
             bump: 0,
             answer_open: false,
             deaf: 0,
+            cut: false,
             call: None,
+            call_runs: Vec::new(),
             call_after: 0,
             confirms: false,
             risky: false,
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -13,7 +13,7 @@
 
 /// A machine that let so many commands in a row pass unseen gets no tasks until it shows one: its
 /// reports may arrive while nothing reaches it.
-const DEAF: u32 = 2;
+const DEAF: u32 = 1;
 
 /// Keys of the state service.
 pub mod keys {
@@ -21,6 +21,9 @@
     pub const LEAD: &str = "l/lead";
     /// The epoch, which only grows.
     pub const EPOCH: &str = "l/epoch";
+    /// Cancelled jobs that have not ended. Below the leader's prefix, so that one watch shows a
+    /// controller both that its leader still leads and what has been cancelled.
+    pub const CANCELLED: &str = "l/x/";
     /// Unfinished jobs.
     pub const JOBS: &str = "j/";
     /// Finished jobs.
@@ -51,6 +54,9 @@
     /// Whether it has been cancelled.
     #[serde(default)]
     pub x: bool,
+    /// Whether its cancellation has a key of its own; version 0.1 wrote none.
+    #[serde(default)]
+    pub k: bool,
 }
 
 /// Record of a finished job.
@@ -247,6 +253,8 @@
     pub stamp: u64,
     /// Cancelled.
     pub aborted: bool,
+    /// Its cancellation has a key, written with its record.
+    pub cancel_key: bool,
     /// Its record changed and has not been read again: nothing may be placed.
     pub stale: bool,
     /// Tasks done, committed or not.
@@ -293,6 +301,7 @@
             image: 0,
             stamp,
             aborted: rec.x,
+            cancel_key: rec.k,
             stale: false,
             done: Bits::new(rec.s.pieces),
             done_count: 0,
@@ -418,8 +427,12 @@
     pub answer_open: bool,
     /// Commands in a row of which nothing was seen: it reports, but does not hear us.
     pub deaf: u32,
+    /// Nobody in its zone reports.
+    pub cut: bool,
     /// Direct call under way.
     pub call: Option<u64>,
+    /// Placements of which a `run` left with that call for the first time.
+    pub call_runs: Vec<u64>,
     /// No direct call before this time.
     pub call_after: u64,
     /// The direct call under way only confirms the token.
@@ -457,6 +470,7 @@
     pub fn usable(&self, now: u64, set: &Settings) -> bool {
         self.recorded
             && self.deaf < DEAF
+            && !self.cut
             && self.answers(now, set)
             && !self.leaving
             && self.warned.is_none()
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -9,8 +9,8 @@
 use shaleshunt_peer::Frame;
 use shaleshunt_wire::cloud::Catalog;
 use shaleshunt_wire::state::{Condition, Txn, Write};
-use shaleshunt_wire::worker::Report;
-use std::collections::{BTreeMap, HashMap};
+use shaleshunt_wire::worker::{Order, PieceStatus, Report, ReportReply, split_piece};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 /// What a request's answer is for.
@@ -51,6 +51,21 @@
     pub state_bad: u64,
     /// Peer that passes requests to the state service for us.
     pub via: Option<String>,
+    /// What the other controllers may have done for machines of their zones.
+    pub keepers: BTreeMap<String, Keeper>,
+}
+
+/// What a peer said of the leases that it may keep while it does not hear the leader.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Keeper {
+    /// Its zone.
+    pub hall: String,
+    /// When its last pulse came.
+    pub heard: u64,
+    /// That pulse was sent after this time: it shows that a pulse of ours of this time had come.
+    pub sent_after: u64,
+    /// It kept none later than this, up to that pulse.
+    pub kept: u64,
 }
 
 impl Ctx {
@@ -91,6 +106,18 @@
 struct PeerView {
     heard: u64,
     state_age_ms: u32,
+    /// Its process and clock at its last pulse.
+    pulse: (u64, u64),
+}
+
+/// The leader as this node last heard it: what it needs to keep its zone's leases without it.
+#[derive(Debug, Clone, Default)]
+struct Heard {
+    epoch: u64,
+    /// When its last pulse came.
+    at: u64,
+    /// It surely lived and led after this time: it had heard a pulse of ours of this time.
+    sure: u64,
 }
 
 /// A node of the service.
@@ -107,6 +134,15 @@
     via_at: u64,
     /// The leader's lease at the state service.
     lead_pass: Option<u64>,
+    /// Begin of this process, time of day.
+    born: u64,
+    heard: Heard,
+    /// Sending time of the last answered look at leadership and cancellations: none before it was
+    /// missed.
+    sighted: u64,
+    cancelled: BTreeSet<String>,
+    /// When a machine's lease was last kept in place of a leader not heard.
+    kept: Option<u64>,
     peers: BTreeMap<String, PeerView>,
     counts: HashMap<String, (u32, u32)>,
     catalog_at: u64,
@@ -118,6 +154,8 @@
     /// A node that has just started.
     pub fn new(set: Settings, tune: Tuning, now: Now) -> Node {
         let peers = set.peers.iter().map(|(label, _)| (label.clone(), PeerView::default())).collect();
+        let keeper = |hall: &String| Keeper { hall: hall.clone(), ..Keeper::default() };
+        let keepers = set.peers.iter().map(|(label, hall)| (label.clone(), keeper(hall))).collect();
         Node {
             ctx: Ctx {
                 now,
@@ -130,6 +168,7 @@
                 state_ok: now.mono,
                 state_bad: 0,
                 via: None,
+                keepers,
             },
             front: Front::default(),
             leader: None,
@@ -139,6 +178,11 @@
             vote_ledger: 0,
             via_at: 0,
             lead_pass: None,
+            born: now.wall,
+            heard: Heard::default(),
+            sighted: 0,
+            cancelled: BTreeSet::new(),
+            kept: None,
             peers,
             counts: HashMap::new(),
             catalog_at: now.mono,
@@ -247,6 +291,11 @@
                 self.ctx.answer(id, busy);
             }
             None => {
+                if let Some(orders) = self.keeps(&report) {
+                    self.kept = Some(self.ctx.now.mono);
+                    self.ctx.answer(id, Answer::Report(ReportReply { baton: report.baton, orders }));
+                    return;
+                }
                 let to = self.foreman.clone().filter(|f| *f != me);
                 let answer = match to {
                     Some(to) => Answer::Elsewhere(Some(to)),
@@ -257,6 +306,31 @@
         }
     }
 
+    /// Whether this node keeps the lease of a machine of its zone while the leader is not heard,
+    /// and with which commands: the leader's block in this zone is this node's for a term. It
+    /// speaks with the token that the machine has seen, of the epoch that this node last heard, and
+    /// starts nothing. The term ends `cancel_s - lease_s` less a margin after the last moment at
+    /// which the leader surely led and no cancellation had been missed. The leader, and the next
+    /// one, count on that before they release anything of a silent machine.
+    fn keeps(&self, report: &Report) -> Option<Vec<Order>> {
+        let (now, set) = (self.ctx.now.mono, &self.ctx.set);
+        let term = set.blind_ms().min((self.ctx.tune.block_term_s * 1000.0) as u64);
+        let sure = self.heard.sure.min(self.sighted);
+        let ours = self.heard.epoch > 0 && self.heard.epoch == self.epoch && sure > 0;
+        let unheard = now.saturating_sub(self.heard.at) > set.report_ms() / 2;
+        let token = report.baton >> crate::leader::TOKEN_BITS == self.heard.epoch;
+        if !(ours && unheard && token && report.hall == set.location && now < sure + term) {
+            return None;
+        }
+        let cancelled = |piece: &str| split_piece(piece).is_some_and(|(job, _)| self.cancelled.contains(job));
+        let halts = report
+            .pieces
+            .iter()
+            .filter(|p| p.status != PieceStatus::Exited && cancelled(&p.piece))
+            .map(|p| Order::Halt { piece: p.piece.clone(), attempt: p.attempt, wind_down_s: 0.0 });
+        Some(halts.collect())
+    }
+
     fn state_answer(&mut self, id: RequestId, result: Result<StateReply, IoError>) {
         let Some((wait, sent)) = self.ctx.waits.remove(&id) else { return };
         match &result {
@@ -267,7 +341,7 @@
         }
         match wait {
             Wait::Front(w) => self.front.state_answer(&mut self.ctx, w, result, &self.counts, self.leader.as_deref()),
-            Wait::Vote(w) => self.vote_answer(w, result),
+            Wait::Vote(w) => self.vote_answer(w, sent, result),
             Wait::Catalog => {
                 let found = match result {
                     Ok(StateReply::Found(pair)) => serde_json::from_value::<Catalog>(pair.v).ok(),
@@ -308,13 +382,18 @@
         self.look_at = Some(self.ctx.now.mono + (self.ctx.set.report_s * reports * 1000.0) as u64);
     }
 
-    fn vote_answer(&mut self, wait: VoteWait, result: Result<StateReply, IoError>) {
+    fn vote_answer(&mut self, wait: VoteWait, sent: u64, result: Result<StateReply, IoError>) {
         if self.leader.is_some() {
             return;
         }
         match (wait, result) {
             (VoteWait::Look, Ok(StateReply::Page(page))) => {
                 self.vote_ledger = page.ledger;
+                if !page.truncated {
+                    self.sighted = sent;
+                    let cancelled = page.pairs.iter().filter_map(|p| p.path.strip_prefix(keys::CANCELLED));
+                    self.cancelled = cancelled.map(str::to_string).collect();
+                }
                 let get = |key: &str| page.pairs.iter().find(|p| p.path == key);
                 let epoch = get(keys::EPOCH);
                 let number = epoch.and_then(|p| p.v["epoch"].as_u64()).unwrap_or(0);
@@ -380,6 +459,7 @@
             }
             (VoteWait::Watch, Ok(StateReply::News(news))) => {
                 if news.news.is_empty() {
+                    self.sighted = sent;
                     self.watch_lead();
                 } else {
                     self.look();
@@ -395,8 +475,9 @@
     }
 
     fn watch_lead(&mut self) {
-        let watch =
-            StateRequest::Watch { prefix: "l/".into(), after: self.vote_ledger, hold_ms: self.ctx.set.report_ms() };
+        // Short, so that what is known of cancellations is never old.
+        let hold_ms = self.ctx.set.report_ms() / 8;
+        let watch = StateRequest::Watch { prefix: "l/".into(), after: self.vote_ledger, hold_ms };
         self.ctx.state(watch, Wait::Vote(VoteWait::Watch));
     }
 
@@ -412,9 +493,26 @@
     fn peer(&mut self, from: String, frame: Frame) {
         let now = self.ctx.now.mono;
         match frame {
-            Frame::Pulse { epoch, leader, leads, state_age_ms } => {
+            Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms } => {
                 let Some(p) = self.peers.get_mut(&from) else { return };
-                *p = PeerView { heard: now, state_age_ms };
+                *p = PeerView { heard: now, state_age_ms, pulse: (born, at) };
+                let answers_us = echo.0 == self.born && echo.1 <= now;
+                if let Some(k) = self.ctx.keepers.get_mut(&from) {
+                    k.heard = now;
+                    k.kept = now.saturating_sub(u64::from(kept_ms));
+                    if answers_us {
+                        k.sent_after = k.sent_after.max(echo.1);
+                    }
+                }
+                if leads && leader == from && epoch >= self.epoch {
+                    if self.heard.epoch != epoch {
+                        self.heard = Heard { epoch, at: now, sure: 0 };
+                    }
+                    self.heard.at = now;
+                    if answers_us {
+                        self.heard.sure = self.heard.sure.max(echo.1);
+                    }
+                }
                 if leads && epoch > self.epoch {
                     // A newer leader than the one we know, ourselves perhaps.
                     self.epoch = epoch;
@@ -456,16 +554,24 @@
         }
         self.choose_via();
         if self.pulse_at <= now {
-            self.pulse_at = now + self.ctx.set.report_ms() / 6;
+            self.pulse_at = now + self.ctx.set.report_ms() / 12;
             // Through a peer is not served: nobody shall pass requests on through us.
             let age = if self.ctx.via.is_some() { u64::from(u32::MAX) } else { now - self.ctx.state_ok.min(now) };
-            let pulse = Frame::Pulse {
-                epoch: self.epoch,
-                leader: self.foreman.clone().unwrap_or_default(),
-                leads: self.leader.is_some(),
-                state_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-            };
-            self.tell_peers(pulse);
+            let kept = now.saturating_sub(self.kept.unwrap_or(0));
+            let peers: Vec<(String, (u64, u64))> = self.peers.iter().map(|(l, p)| (l.clone(), p.pulse)).collect();
+            for (label, echo) in peers {
+                let pulse = Frame::Pulse {
+                    epoch: self.epoch,
+                    leader: self.foreman.clone().unwrap_or_default(),
+                    leads: self.leader.is_some(),
+                    state_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+                    born: self.born,
+                    at: now,
+                    echo,
+                    kept_ms: u32::try_from(kept).unwrap_or(u32::MAX),
+                };
+                self.ctx.out.push(Effect::Peer(label, pulse));
+            }
         }
         if self.counts_at <= now {
             self.counts_at = now + self.ctx.set.report_ms() / 3;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -419,7 +419,16 @@
                 None if m.shift > 0 => m.leaving |= here > silence * 2,
                 None => m.leaving |= age > boot_s * NEVER_BOOTS + set.report_s && here > silence * 2,
                 Some(h) if !m.owned => {
-                    m.leaving |= now.saturating_sub(h) > silence;
+                    let quiet = now.saturating_sub(h);
+                    let kept = m.cut && ctx.keepers.values().any(|k| k.hall == m.hall);
+                    m.leaving |= if kept {
+                        // The controller there keeps its leases for a term: what it runs goes on,
+                        // and is better waited for unless it has a deadline.
+                        let hurry = m.places.iter().any(|p| self.jobs.get(&p.job).is_some_and(|j| j.due().is_some()));
+                        quiet > if hurry { silence * 2 / 3 } else { set.blind_ms() + set.lease_over_ms() }
+                    } else {
+                        quiet > silence
+                    };
                     m.leaving |= m.places.is_empty()
                         && (m.warned.is_some()
                             || now.saturating_sub(m.idle_since.max(m.needed_at)) as f64 > ctx.tune.idle_s * 1000.0);
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -161,7 +161,7 @@
     /// a cancellation that it missed just after its last news must be over, lease and all, within
     /// `cancel_s`. The margin covers clocks (0.05% each way) and timers that fire late.
     pub fn blind_ms(&self) -> u64 {
-        let margin = (self.cancel_s * 0.04).max(0.5);
+        let margin = (self.cancel_s * 0.015).max(0.2);
         ((self.cancel_s - self.lease_s * 1.002 - margin).max(0.0) * 1000.0) as u64
     }
     /// Time after which a lease has surely run out, counted from the last report received.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
 /// Version of the format.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Largest frame taken, in bytes after the length.
 pub const MAX_FRAME: usize = 256 * 1024;
 
@@ -30,6 +30,15 @@
         leads: bool,
         /// Time since the state service last answered the speaker, in ms.
         state_age_ms: u32,
+        /// When the speaker's process began, time of day: tells its lives apart.
+        born: u64,
+        /// The speaker's steady clock.
+        at: u64,
+        /// `born` and `at` of the last pulse that the speaker had from the listener, 0 for none.
+        echo: (u64, u64),
+        /// Time since the speaker last kept a machine's lease in place of a leader that it did not
+        /// hear, or since its process began, in ms.
+        kept_ms: u32,
     },
     /// From the leader: counts of running and done tasks per job, for display only.
     Counts {
@@ -136,12 +145,17 @@
                 b.put_u8(1);
                 put_text(&mut b, node);
             }
-            Frame::Pulse { epoch, leader, leads, state_age_ms } => {
+            Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms } => {
                 b.put_u8(2);
                 b.put_u64(*epoch);
                 put_text(&mut b, leader);
                 b.put_u8(u8::from(*leads));
                 b.put_u32(*state_age_ms);
+                b.put_u64(*born);
+                b.put_u64(*at);
+                b.put_u64(echo.0);
+                b.put_u64(echo.1);
+                b.put_u32(*kept_ms);
             }
             Frame::Counts { epoch, jobs } => {
                 b.put_u8(3);
@@ -189,7 +203,16 @@
         }
         let frame = match r.u8()? {
             1 => Frame::Hello { node: r.text()? },
-            2 => Frame::Pulse { epoch: r.u64()?, leader: r.text()?, leads: r.u8()? != 0, state_age_ms: r.u32()? },
+            2 => Frame::Pulse {
+                epoch: r.u64()?,
+                leader: r.text()?,
+                leads: r.u8()? != 0,
+                state_age_ms: r.u32()?,
+                born: r.u64()?,
+                at: r.u64()?,
+                echo: (r.u64()?, r.u64()?),
+                kept_ms: r.u32()?,
+            },
             3 => {
                 let epoch = r.u64()?;
                 let n = r.u32()? as usize;
@@ -214,7 +237,16 @@
     fn samples() -> Vec<Frame> {
         vec![
             Frame::Hello { node: "n-0".into() },
-            Frame::Pulse { epoch: 7, leader: "n-1".into(), leads: true, state_age_ms: 12 },
+            Frame::Pulse {
+                epoch: 7,
+                leader: "n-1".into(),
+                leads: true,
+                state_age_ms: 12,
+                born: 1_700_000_000_000,
+                at: 5000,
+                echo: (1_700_000_000_001, 4000),
+                kept_ms: 31,
+            },
             Frame::Counts { epoch: 7, jobs: vec![("wk-1".into(), 3, 4), ("wk-2".into(), 0, 1)] },
             Frame::Relay { id: 9, body: Bytes::from_static(b"{}") },
             Frame::Relayed { id: 9, status: 409, body: Bytes::from_static(b"{\"a\":1}") },
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -373,6 +373,10 @@
             };
             Trouble::Cut(node, side, w.ms()?, kind == "cut-held")
         }
+        kind @ ("zone-cut" | "zone-cut-held") => Trouble::ZoneCut(w.next()?.into(), w.ms()?, kind == "zone-cut-held"),
+        "peers-refuse" => Trouble::PeersRefuse(w.ms()?),
+        "deaf" => Trouble::Deaf(w.next()?.into(), w.ms()?),
+        "late-copies" => Trouble::LateCopies(w.ms()?, w.ms()?),
         "late-txns" => Trouble::LateTxn(w.number()?, w.ms()?),
         "late-orders" => Trouble::LateOrders(w.next()?.into(), w.ms()?, w.ms()?),
         "hang" => Trouble::Hang(w.next()?.into(), w.ms()?),
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -92,6 +92,15 @@
     /// A node is cut off for a time from the state service, the workers and cloud, or all; with
     /// `held`, what it sent arrives when the cut ends.
     Cut(usize, Side, u64, bool),
+    /// A zone is cut off for a time from everything outside it; with `held`, what was sent arrives
+    /// when the cut ends.
+    ZoneCut(String, u64, bool),
+    /// Connections between controllers are refused for a time.
+    PeersRefuse(u64),
+    /// A machine's reports arrive, but answers and commands don't reach it, for a time.
+    Deaf(String, u64),
+    /// Copies of reports come again this much later, for a time.
+    LateCopies(u64, u64),
     /// The next so many transactions of any node are carried out this much later, their answers lost.
     LateTxn(u32, u64),
     /// Direct commands to a machine arrive this much later, for a time.
@@ -158,6 +167,10 @@
     refused: Vec<u64>,
     relayed: BTreeSet<(Life, u64)>,
     cuts: Vec<(usize, Side, u64, bool)>,
+    zone_cuts: Vec<(String, u64, bool)>,
+    peers_refused: u64,
+    deaf: BTreeMap<String, u64>,
+    late_copies: (u64, u64),
     late_txns: (u32, u64),
     late_orders: BTreeMap<String, (u64, u64)>,
     late_hires: (u64, u64),
@@ -200,6 +213,10 @@
             refused: vec![0; n],
             relayed: BTreeSet::new(),
             cuts: Vec::new(),
+            zone_cuts: Vec::new(),
+            peers_refused: 0,
+            deaf: BTreeMap::new(),
+            late_copies: (0, 0),
             late_txns: (0, 0),
             late_orders: BTreeMap::new(),
             late_hires: (0, 0),
@@ -242,12 +259,30 @@
         1 + u64::from(self.rng.random_bool(0.02)) * 150 + self.rng.random_range(0..4)
     }
 
+    /// Until when a node is cut off on this side, and whether what is sent is held back. State
+    /// service, cloud and users are in no zone.
     fn cut(&self, node: usize, side: Side) -> Option<(u64, bool)> {
-        self.cuts
+        let own = self
+            .cuts
             .iter()
             .filter(|(n, s, until, _)| *n == node && (*s == side || *s == Side::All) && self.now < *until)
-            .map(|(_, _, until, held)| (*until, *held))
-            .max()
+            .map(|(_, _, until, held)| (*until, *held));
+        own.chain(self.zone_cut(&self.settings[node].location, None)).max()
+    }
+
+    /// Until when two places are apart because one's zone is cut off.
+    fn zone_cut(&self, a: &str, b: Option<&str>) -> Option<(u64, bool)> {
+        let apart = |z: &str| (z == a) != (b == Some(z));
+        let cuts = self.zone_cuts.iter().filter(|(z, until, _)| apart(z) && self.now < *until);
+        cuts.map(|(_, until, held)| (*until, *held)).max()
+    }
+
+    /// Until when a node and a machine are apart.
+    fn cut_worker(&self, node: usize, worker: &str) -> Option<(u64, bool)> {
+        let own = self.cuts.iter().filter(|(n, s, until, _)| *n == node && *s != Side::State && self.now < *until);
+        let hall = self.workers.get(worker).map(|w| w.hall.as_str());
+        let zone = self.zone_cut(&self.settings[node].location, hall);
+        own.map(|(_, _, until, held)| (*until, *held)).chain(zone).max()
     }
 
     /// Plays until a time.
@@ -301,7 +336,13 @@
                 let (fine, report) = w.orders(now, orders, &self.check.jobs);
                 self.flush(&to);
                 let reply = if fine { OrdersReply::Executed(report) } else { OrdersReply::Outdated(report) };
-                self.reply(who, Command::Orders(id, Ok(reply)), Side::Workers);
+                let d = self.delay();
+                let command = What::ToNode(who, Command::Orders(id, Ok(reply)));
+                match self.cut_worker(who.0, &to) {
+                    Some((until, true)) => self.at(until + d, command),
+                    Some((_, false)) => {}
+                    None => self.at(now + d, command),
+                }
             }
             What::ToNode(who, command) => {
                 let id = match &command {
@@ -369,6 +410,7 @@
             self.cloud.down = false;
         }
         self.cuts.retain(|c| now < c.2);
+        self.zone_cuts.retain(|c| now < c.1);
         self.state_turn();
         self.cloud.turn(now);
         let up: Vec<crate::cloud::Rented> = self
@@ -428,7 +470,12 @@
         self.flush(name);
         if let Some((node, Some(sent), report)) = send {
             let d = self.delay();
-            match self.cut(node, Side::Workers) {
+            if now < self.late_copies.0 {
+                // Its answer comes to nobody.
+                let at = now + self.late_copies.1;
+                self.at(at, What::Checkin(node, report.clone(), (0, 0, 0)));
+            }
+            match self.cut_worker(node, name) {
                 Some((until, true)) => self.at(until + d, What::Checkin(node, report, sent)),
                 Some((_, false)) => {}
                 None if self.nodes[node].is_some() => self.at(now + d, What::Checkin(node, report, sent)),
@@ -443,6 +490,9 @@
         let events = std::mem::take(&mut w.events);
         let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
         for e in events {
+            if let Some(log) = &mut self.log {
+                log.push(format!("{:.3} {name}: {e:?}", self.now as f64 / 1000.0));
+            }
             self.check.machine(self.now, name, &place, &e);
         }
     }
@@ -506,7 +556,10 @@
                 }
                 if path != who.0 {
                     let served = self.now >= self.refused[path] && self.cut(path, Side::State).is_none();
-                    let linked = self.cut(who.0, Side::All).is_none_or(|_| self.cut(who.0, Side::State).is_none());
+                    let zones = self.zone_cut(&self.settings[who.0].location, Some(&self.settings[path].location));
+                    let linked = zones.is_none() && now >= self.peers_refused;
+                    let linked =
+                        linked && self.cut(who.0, Side::All).is_none_or(|_| self.cut(who.0, Side::State).is_none());
                     if served && linked && self.nodes[path].is_some() {
                         let result = self.state.handle(now, who, id, request);
                         if result.is_none() {
@@ -538,9 +591,11 @@
                 self.open.insert((who, id));
                 self.at(now + patience, What::TimedOut(who, id, Kind::Orders));
                 let late = self.late_orders.get(&to).filter(|(until, _)| now < *until).map(|(_, by)| *by);
-                match self.cut(who.0, Side::Workers) {
+                let deaf = self.deaf.get(&to).is_some_and(|until| now < *until);
+                match self.cut_worker(who.0, &to) {
                     Some((until, true)) => self.at(until + d, What::ToWorker(who, id, to, orders)),
                     Some((_, false)) => {}
+                    None if deaf => {}
                     None => self.at(now + d + late.unwrap_or(0), What::ToWorker(who, id, to, orders)),
                 }
             }
@@ -548,7 +603,9 @@
             Effect::Peer(label, frame) => {
                 let Some(to) = self.settings.iter().position(|s| s.label == label) else { return };
                 let all = |n: usize| self.cuts.iter().any(|c| c.0 == n && c.1 == Side::All && now < c.2);
-                if !all(who.0) && !all(to) {
+                let zones = self.zone_cut(&self.settings[who.0].location, Some(&self.settings[to].location));
+                let apart = all(who.0) || all(to) || zones.is_some() || now < self.peers_refused;
+                if !apart {
                     let from = self.settings[who.0].label.clone();
                     // As on the wire.
                     let mut buf = bytes::BytesMut::new();
@@ -570,10 +627,11 @@
     fn answered(&mut self, node: usize, id: u64, answer: Answer) {
         match self.asks.remove(&id) {
             Some(Asked::Worker(name, sent)) => {
-                if self.cut(node, Side::Workers).is_some() {
+                let now = self.now;
+                let deaf = self.deaf.get(&name).is_some_and(|until| now < *until);
+                if self.cut_worker(node, &name).is_some() || deaf || sent == (0, 0, 0) {
                     return;
                 }
-                let now = self.now;
                 match answer {
                     Answer::Report(reply) => {
                         if let Some(w) = self.workers.get_mut(&name)
@@ -686,6 +744,21 @@
                 self.refused[node] = now + ms;
             }
             Trouble::Cut(node, side, ms, held) => self.cuts.push((self.meant(node), side, now + ms, held)),
+            Trouble::ZoneCut(zone, ms, held) => self.zone_cuts.push((zone, now + ms, held)),
+            Trouble::PeersRefuse(ms) => {
+                self.peers_refused = now + ms;
+                // Open connections break.
+                for to in 0..self.nodes.len() {
+                    for from in (0..self.nodes.len()).filter(|f| *f != to) {
+                        let (who, label) = ((to, self.lives[to]), self.settings[from].label.clone());
+                        self.at(now + 5, What::ToNode(who, Command::PeerLost(label)));
+                    }
+                }
+            }
+            Trouble::Deaf(m, ms) => {
+                self.deaf.insert(m, now + ms);
+            }
+            Trouble::LateCopies(ms, by) => self.late_copies = (now + ms, by),
             Trouble::LateTxn(n, ms) => self.late_txns = (n, ms),
             Trouble::LateOrders(m, ms, by) => {
                 self.late_orders.insert(m, (now + ms, by));
