--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -11,6 +11,12 @@
 use shaleshunt_wire::worker::*;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A task that has run for so many times what its job's tasks usually take overruns.
+const OVERRUN: f64 = 1.5;
+
+/// Why a leader steps down that no machine reports to; it leaves the next election to others.
+pub(crate) const UNHEARD: &str = "no machine is heard";
+
 /// Most commands in one message, so that no line grows too long.
 const MAX_ORDERS: usize = 300;
 
@@ -222,24 +228,34 @@
         match cause {
             Cause::Done if !job.is_service() => {
                 job.mark_done(p.piece);
+                // It does well after all: where it failed, that was the machine.
+                let failed_on = if job.failures > 0 { job.failed_on.clone() } else { BTreeSet::new() };
                 job.failures = 0;
                 let expected = job.spec.expect_s;
                 if let (Some(start), true) = (p.running, expected > 0.0) {
                     let ran = now.saturating_sub(start) as f64 / 1000.0;
+                    job.ran = (job.ran.0 + 1, job.ran.1 + now.saturating_sub(start));
                     let class = self.learned.entry(job.spec.jobline.clone()).or_default();
                     class.actual += ran;
                     class.expected += expected;
                 }
-                if let Some(m) = self.looms.get_mut(loom) {
+                // A task that began before the last failure says nothing about the machine since.
+                if let Some(m) = self.looms.get_mut(loom).filter(|m| p.since > m.failed_at) {
                     m.failures.clear();
                     m.sick_times = 0;
                 }
                 self.touch(now, &p.job, p.piece, false);
+                for id in failed_on.iter().filter(|id| *id != loom) {
+                    if self.looms.get(id).is_some_and(|m| m.failures.contains(&p.job)) {
+                        self.set_aside(ctx, id);
+                    }
+                }
             }
             Cause::Done | Cause::Error | Cause::NoSuch | Cause::Unknown => {
                 ctx.log(Severity::Debug, format!("task {name} failed on {loom}: {cause:?}"));
                 if cause == Cause::Error {
-                    self.failed_on(ctx, loom, &p.job);
+                    let ran = p.running.map_or(0, |r| now.saturating_sub(r));
+                    self.failed_on(ctx, loom, &p.job, ran);
                 } else if let Some(job) = self.jobs.get_mut(&p.job) {
                     job.not_before = now + ctx.set.report_ms();
                 }
@@ -254,23 +270,33 @@
         }
     }
 
-    /// A task failed. Tells machines that fail everything from jobs that fail everywhere: a job
-    /// that failed on several machines without a success is held back and no longer counts
-    /// against machines; a machine on which tasks of several jobs failed in a row, or one of a
-    /// job that does well elsewhere, is left alone for a while, then tried with one task.
-    fn failed_on(&mut self, ctx: &mut Ctx, loom: &Id, job: &Id) {
+    /// A task failed after it had run for `ran` ms. Tells machines that fail everything from jobs
+    /// that fail everywhere: a job of which other tasks have run for longer elsewhere is fine, so it
+    /// is the machine; it is left alone for a while, then tried with one task. A job that failed on
+    /// several machines without any such sign is held back and counts against no machine. With
+    /// dozens of machines failing at once, a large job fails many times before its first task ends.
+    fn failed_on(&mut self, ctx: &mut Ctx, loom: &Id, job: &Id, ran: u64) {
         let now = ctx.now.mono;
         let Some(j) = self.jobs.get_mut(job) else { return };
         j.failures += 1;
         j.failed_on.insert(loom.clone());
-        let long = (ctx.set.lease_s * 1000.0) as u64;
-        let steady = |loom: &Id, slot: u64| {
-            let place = self.looms.get(loom).and_then(|m| m.places.iter().find(|p| p.slot == slot));
-            place.is_some_and(|p| p.running.is_some_and(|r| now - r > long))
+        let long = ran + ctx.set.report_ms() / 2;
+        let steady = |l: &Live| {
+            let place = self.looms.get(&l.loom).and_then(|m| m.places.iter().find(|p| p.slot == l.slot));
+            l.loom != *loom && place.is_some_and(|p| p.running.is_some_and(|r| now - r > long))
+        };
+        let does_well = j.done_count > 0 || j.live.values().flatten().any(steady);
+        // Tasks that have only just begun elsewhere are no sign yet, but a job of which some run is
+        // not called broken: a large one loses many tasks at once to a few machines.
+        let runs = |l: &Live| {
+            let place = self.looms.get(&l.loom).and_then(|m| m.places.iter().find(|p| p.slot == l.slot));
+            !j.failed_on.contains(&l.loom) && place.is_some_and(|p| p.running.is_some())
         };
-        let does_well = j.done_count > 0
-            || j.is_service() && j.live.values().flatten().any(|l| l.loom != *loom && steady(&l.loom, l.slot));
-        let broken = (j.failed_on.len() >= 3 || j.failures >= 6) && !does_well;
+        let many = (j.failed_on.len() >= 3 || j.failures >= 6) && !does_well;
+        let broken = many && !j.live.values().flatten().any(runs);
+        if many && !broken {
+            j.not_before = now + ctx.set.report_ms() / 4;
+        }
         if broken {
             let wait = ctx.tune.sick_s * 1000.0 / 8.0 * f64::from(1u32 << (j.failures.min(8) - 3).min(4));
             j.not_before = now + wait as u64;
@@ -279,20 +305,28 @@
             }
         }
         let Some(m) = self.looms.get_mut(loom) else { return };
+        m.failed_at = now;
         if !broken {
             m.failures.push(job.clone());
         }
         let kinds: BTreeSet<&Id> = m.failures.iter().collect();
-        if (kinds.len() >= 2 || does_well || m.sick_times > 0) && !broken && now >= m.sick_until {
-            m.sick_times += 1;
-            let pause = ctx.tune.sick_s * 1000.0 * f64::from(1u32 << (m.sick_times - 1).min(3));
-            m.sick_until = now + pause as u64;
-            m.failures.clear();
-            ctx.log(Severity::Info, format!("machine {loom} fails its tasks: not used for {} s", pause / 1000.0));
+        if (kinds.len() >= 2 || does_well || m.sick_times > 0) && !broken {
+            self.set_aside(ctx, loom);
         }
         self.replan = true;
     }
 
+    /// A machine fails its tasks: it is not used for a while, longer each time.
+    fn set_aside(&mut self, ctx: &mut Ctx, loom: &Id) {
+        let now = ctx.now.mono;
+        let Some(m) = self.looms.get_mut(loom).filter(|m| now >= m.sick_until) else { return };
+        m.sick_times += 1;
+        let pause = ctx.tune.sick_s * 1000.0 * f64::from(1u32 << (m.sick_times - 1).min(3));
+        m.sick_until = now + pause as u64;
+        m.failures.clear();
+        ctx.log(Severity::Info, format!("machine {loom} fails its tasks: not used for {} s", pause / 1000.0));
+    }
+
     /// Commands that a machine needs now. Each can be repeated, so they are worked out anew every
     /// time. `forget` only goes out in the answer to a report, with no direct call under way: then
     /// no `run` of that attempt can still arrive, since earlier answers have been taken or dropped.
@@ -481,7 +515,14 @@
         let gap = |n: u32| (report / 5).max(report * 8 / u64::from(n.max(1)));
         let newest = self.zones_heard.values().map(|z| z.0).max().unwrap_or(0);
         if now.saturating_sub(newest) > report / 10 {
-            // Nobody reports at all: it is us.
+            // Nobody reports at all: it is us. A leader that the machines do not reach is no use to
+            // them, though the state service may still take it for one.
+            let all: u32 = self.zones_heard.values().map(|z| z.1).sum();
+            let patience = if newest == 0 { report * 3 } else { (report / 2).max(report * 8 / u64::from(all.max(1))) };
+            let heard = newest.max(self.took_at);
+            if !self.looms.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience {
+                self.down = Some(UNHEARD);
+            }
             return;
         }
         let silent: BTreeSet<String> = self
@@ -528,6 +569,39 @@
         }
     }
 
+    /// Machines that are slow, told by tasks that overrun: the design's slack counts queued work
+    /// only. What a job's tasks take is known from those that ended, else from its estimate with
+    /// more doubt. One task may be long by itself; several at once on one machine are its doing.
+    /// Nothing but replicas goes there for half a lease. What runs there stays: it has a part of
+    /// its way behind it, and the machine may be well again at any time.
+    pub(crate) fn watch_speed(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        let mut found: Vec<Id> = Vec::new();
+        for m in self.looms.values() {
+            let (mut runs, mut over) = (0, 0);
+            for p in &m.places {
+                let Some(since) = p.running.filter(|_| p.halt.is_none()) else { continue };
+                let Some(job) = self.jobs.get(&p.job).filter(|j| !j.is_service()) else { continue };
+                runs += 1;
+                let usual =
+                    if job.ran.0 >= 3 { job.ran.1 as f64 / f64::from(job.ran.0) } else { self.estimate(job) * 1500.0 };
+                let elapsed = now.saturating_sub(since) as f64;
+                over += u32::from(elapsed > usual * OVERRUN + ctx.set.report_s * 100.0);
+            }
+            if over >= 3 && over * 3 >= runs {
+                found.push(m.id.clone());
+            }
+        }
+        for id in found {
+            if let Some(m) = self.looms.get_mut(&id) {
+                if now >= m.slow_until {
+                    ctx.log(Severity::Debug, format!("machine {id} is slow"));
+                }
+                m.slow_until = now + (ctx.set.lease_s * 500.0) as u64;
+            }
+        }
+    }
+
     /// Whether no controller in a zone can still keep the lease of a machine last heard at a time:
     /// each has said, a lease later, that it kept none since; or it has not heard from us for so
     /// long that its term is over, and a lease as well.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -118,6 +118,8 @@
     pub(crate) ranks_at: u64,
     pub(crate) behind: BTreeMap<Id, u8>,
     pub(crate) guaranteed: BTreeSet<Id>,
+    /// Shorter tasks than this go to spot machines first.
+    pub(crate) spot_below: f64,
     /// Where the next sample of machines begins.
     pub(crate) sample_from: Option<Id>,
     /// By zone: when last a machine in it reported, and how many do.
@@ -197,6 +199,7 @@
             ranks_at: 0,
             behind: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
+            spot_below: 0.0,
             sample_from: None,
             zones_heard: BTreeMap::new(),
             zones_cut: BTreeSet::new(),
@@ -588,6 +591,7 @@
         if now >= self.floor_at {
             self.floor_at = now + ctx.set.report_ms() / 8;
             self.watch_floor(ctx);
+            self.watch_speed(ctx);
         }
         if now >= self.told_at {
             self.told_at = now + ctx.set.report_ms();
@@ -684,10 +688,11 @@
             listed: false,
             failures: Vec::new(),
             sick_until: 0,
+            failed_at: 0,
             sick_times: 0,
             needed_at: 0,
             idle_since: ctx.now.mono,
-            slowness: 1.0,
+            slow_until: 0,
         }
     }
 
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -271,6 +271,8 @@
     pub facts: Vec<u32>,
     /// Placements by task.
     pub live: BTreeMap<u32, Vec<Live>>,
+    /// Tasks that ended, and how long they ran together, in ms.
+    pub ran: (u32, u64),
     /// Tasks placed and not done.
     pub placed: u32,
     /// Tasks that run or save.
@@ -310,6 +312,7 @@
             waits_to_write: false,
             facts: Vec::new(),
             live: BTreeMap::new(),
+            ran: (0, 0),
             placed: 0,
             running: 0,
             begun: false,
@@ -455,14 +458,16 @@
     pub failures: Vec<Id>,
     /// Not used before this time, because tasks failed.
     pub sick_until: u64,
+    /// When last a task failed on it.
+    pub failed_at: u64,
     /// Times that it was found sick since a success.
     pub sick_times: u32,
     /// Its room was last counted on for work waiting or expected.
     pub needed_at: u64,
     /// Without placements since.
     pub idle_since: u64,
-    /// Running tasks go this many times slower than they should (smoothed).
-    pub slowness: f64,
+    /// Its tasks take much longer than the same jobs' elsewhere: no batch work before this time.
+    pub slow_until: u64,
 }
 
 impl Loom {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -486,7 +486,7 @@
             self.ctx.log(Severity::Info, format!("epoch {}: steps down: {why}", l.epoch));
             self.ctx.state(StateRequest::EndHold { pass: l.pass }, Wait::Ignore);
             self.foreman = None;
-            self.look_soon(0.01);
+            self.look_soon(if why == crate::floor::UNHEARD { 3.0 } else { 0.01 });
         }
     }
 
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -95,6 +95,7 @@
             self.ranks_at = now + (ctx.tune.round_s * 1000.0) as u64;
             self.guaranteed = self.guaranteed(ctx);
             self.behind = self.yielding(ctx);
+            self.spot_below = self.spot_below(ctx);
         }
         let begin = ctx.tune.begin_s * 1000.0;
         let mut list: Vec<(Rank, &Id)> = self
@@ -116,6 +117,31 @@
         list.into_iter().map(|(_, id)| id.clone()).collect()
     }
 
+    /// The estimate below which tasks that may go to spot machines go there first: what is longer
+    /// fills the machines that cannot be taken away, where a task that would lose most is safe.
+    fn spot_below(&self, ctx: &Ctx) -> f64 {
+        let now = ctx.now.mono;
+        let safe = self.looms.values().filter(|m| !m.borrowed && m.answers(now, &ctx.set));
+        let mut left: i64 = safe.map(|m| m.room.cores).sum();
+        let mut may_move = Vec::new();
+        for j in self.jobs.values().filter(|j| !j.aborted) {
+            let cores = j.need.cores * i64::from(j.spec.pieces - j.done_count.min(j.spec.pieces));
+            if j.spec.borrowed && !j.sent_out {
+                may_move.push((self.estimate(j), cores));
+            } else if !j.spec.borrowed {
+                left -= cores;
+            }
+        }
+        may_move.sort_by(|a, b| b.0.total_cmp(&a.0));
+        for (estimate, cores) in may_move {
+            left -= cores;
+            if left < 0 {
+                return estimate;
+            }
+        }
+        0.0
+    }
+
     /// For each stage of jobs without deadlines, which of them yield.
     fn yielding(&self, ctx: &Ctx) -> BTreeMap<Id, u8> {
         let now = ctx.now.mono;
@@ -354,6 +380,10 @@
         let cap = shaleshunt_wire::MAX_BODY / 128;
         let apart = job.is_service() || job.spec.scatter;
         let hasty = self.hasty(ctx, job);
+        let spot = job.spec.borrowed && (job.sent_out || self.estimate(job) < self.spot_below);
+        // What more urgent work may stop is spread out, so that such work finds room beside it on a
+        // machine that holds its image.
+        let yielding = job.spec.urgency <= Urgency::Normal && !hasty && !job.is_gang();
         let mut seats: Vec<Seat> = Vec::new();
         for m in self.looms.values() {
             if !m.free().fits(&job.need) || !m.usable(now, &ctx.set) || m.places.len() >= cap {
@@ -362,6 +392,7 @@
             if !Self::allows(job, &m.frame, &m.hall, m.borrowed)
                 || job.failed_on.len() < 3 && job.failed_on.contains(&m.id)
                 || m.sick_times > 0 && !m.places.is_empty()
+                || m.slow_until > now && !job.is_service()
                 || zone.is_some_and(|z| z != m.hall)
                 || Self::zone_room(job, &m.hall) == 0
             {
@@ -375,13 +406,15 @@
             } else {
                 2
             };
-            // What is sent out goes to rented machines; the rest keeps off those that may be taken.
-            let kind = u8::from(m.borrowed != (job.sent_out && job.spec.borrowed));
+            // What is sent out goes to rented machines, and so does what is short; the rest keeps off
+            // those that may be taken.
+            let kind = u8::from(m.borrowed != spot);
             let first = if hasty { (image, kind) } else { (kind, u8::from(image > 0)) };
             let times = if m.sick_times > 0 { 1 } else { m.free().times(&job.need, i64::from(most)) as u32 };
             let times = times.min((cap - m.places.len()) as u32);
             let mates = if apart { m.places.iter().filter(|p| p.job == job.id).count() } else { 0 };
-            seats.push(Seat { fit: (m.sick_times > 0, first, !m.owned, m.free().cores), loom: m, times, mates });
+            let free = if yielding { -m.free().cores } else { m.free().cores };
+            seats.push(Seat { fit: (m.sick_times > 0, first, !m.owned, free), loom: m, times, mates });
         }
         let mut found = Vec::new();
         if apart {
@@ -457,6 +490,7 @@
             }
             last = Some(id);
             if !m.usable(now, &ctx.set)
+                || m.slow_until > now && !job.is_service()
                 || m.sick_times > 0
                 || !Self::allows(job, &m.frame, &m.hall, m.borrowed)
                 || !Self::zone_fits(job, &m.hall)
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -381,6 +381,7 @@
         "late-orders" => Trouble::LateOrders(w.next()?.into(), w.ms()?, w.ms()?),
         "hang" => Trouble::Hang(w.next()?.into(), w.ms()?),
         "sick" => Trouble::Sick(w.next()?.into(), w.ms()?),
+        "slow" => Trouble::Slow(w.next()?.into(), w.ms()?, w.number()?),
         "lost" => Trouble::Lost(w.next()?.into()),
         "lost-under" => Trouble::LostUnder(w.next()?.into()),
         "taken" => Trouble::Taken(w.next()?.into(), w.ms()?),
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -20,6 +20,8 @@
     image_at: u64,
     /// When it ends by itself.
     ends_at: Option<u64>,
+    /// It started while the machine failed everything.
+    fails: bool,
 }
 
 /// Something that the checker wants to know.
@@ -68,8 +70,10 @@
     pub warn_s: Option<f64>,
     /// Neither runs nor talks until then.
     pub hangs_until: u64,
-    /// Fails every task until then.
+    /// Fails every task that starts until then.
     pub sick_until: u64,
+    /// Tasks that start until then take so many times as long.
+    pub slow: (u64, u32),
     /// Events since last asked.
     pub events: Vec<Event>,
 }
@@ -109,6 +113,7 @@
             warn_s: None,
             hangs_until: 0,
             sick_until: 0,
+            slow: (0, 1),
             events: Vec::new(),
         }
     }
@@ -211,7 +216,7 @@
                 let fetch = if self.images.contains(&bundle) { 0.0 } else { gb / self.fetch * 1000.0 };
                 let status = if refusal.is_some() { PieceStatus::Exited } else { PieceStatus::Fetching };
                 let image_at = now + fetch as u64;
-                let t = Task { attempt, status, cause: refusal, need, bundle, image_at, ends_at: None };
+                let t = Task { attempt, status, cause: refusal, need, bundle, image_at, ends_at: None, fails: false };
                 self.tasks.entry(piece).or_default().push(t);
             }
             Order::Halt { piece, attempt, .. } => {
@@ -264,10 +269,12 @@
                     t.status = PieceStatus::Running;
                     self.events.push(Event::On(piece.clone(), t.attempt));
                     let run = if completed.contains(piece) { 0.0 } else { spec.expect_s.max(0.1) };
+                    let run = if now < self.slow.0 { run * f64::from(self.slow.1) } else { run };
                     t.ends_at = (spec.shape != Shape::Daemon).then_some(now + (run * 1000.0) as u64);
+                    t.fails = now < self.sick_until;
                     self.changed = true;
                 }
-                let fails = now < self.sick_until || broken.contains(job);
+                let fails = t.fails || broken.contains(job);
                 if t.status == PieceStatus::Running && (fails || t.ends_at.is_some_and(|e| now >= e)) {
                     t.status = PieceStatus::Exited;
                     t.cause = Some(if fails { Cause::Error } else { Cause::Done });
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -109,6 +109,8 @@
     Hang(String, u64),
     /// A machine fails every task for a time.
     Sick(String, u64),
+    /// Tasks that start on a machine for a time take so many times as long.
+    Slow(String, u64, u32),
     /// A machine is gone.
     Lost(String),
     /// A machine is taken after a notice.
@@ -773,6 +775,11 @@
                     w.sick_until = now + ms;
                 }
             }
+            Trouble::Slow(m, ms, times) => {
+                if let Some(w) = self.workers.get_mut(&m) {
+                    w.slow = (now + ms, times);
+                }
+            }
             Trouble::Lost(m) => {
                 self.end_machine(&m);
                 self.cloud.take(&m);
