A new leader waits for machines that hang on to a lost one; old pages cleared under scarce writes

A direct call's answer now counts as hearing a machine, and two reporting intervals pass before the guess.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -167,7 +167,7 @@
         // What becomes due meanwhile shares the next one.
         let gap = 1000.0 / (ctx.set.state_rps * ctx.tune.request_share).max(1.0);
         let scarce = self.writes < rate / 4.0;
-        self.commit_at = now + if scarce { gap * 3.0 } else { gap } as u64;
+        self.commit_at = now + if scarce { gap * 5.0 } else { gap } as u64;
         self.writes -= f.txn.txn.writes.len() as f64;
         self.written = (self.written.0 + f.txn.txn.writes.len() as u32, self.written.1 + 1);
         let txn = f.txn.txn.clone();
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -66,13 +66,11 @@
         }
         m.last = (r.shift, r.tick);
         m.heard = Some(now);
-        if checkin {
-            m.cut = false;
-            match self.zones_heard.get_mut(&m.hall) {
-                Some(z) => z.0 = now,
-                None => {
-                    self.zones_heard.insert(m.hall.clone(), (now, 1));
-                }
+        m.cut = false;
+        match self.zones_heard.get_mut(&m.hall) {
+            Some(z) => z.0 = now,
+            None => {
+                self.zones_heard.insert(m.hall.clone(), (now, 1));
             }
         }
         if m.hall.is_empty() {
@@ -518,8 +516,9 @@
             // Nobody reports at all: it is us. A leader that the machines do not reach is no use to
             // them, though the state service may still take it for one.
             let all: u32 = self.zones_heard.values().map(|z| z.1).sum();
-            let patience = if newest == 0 { report * 3 } else { (report / 2).max(report * 8 / u64::from(all.max(1))) };
-            let heard = newest.max(self.took_at);
+            let patience = (report / 2).max(report * 8 / u64::from(all.max(1)));
+            // Machines that hang on to a lost leader need a while to come.
+            let heard = newest.max(self.took_at + report * 2);
             if !self.looms.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience {
                 self.down = Some(UNHEARD);
             }
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -20,7 +20,7 @@
 /// Most tasks of a job in one transaction.
 const MOST_PIECES: usize = 1024;
 /// An old page of which less than this share still counts is written anew.
-const STALE_SHARE: f64 = 0.4;
+const STALE_SHARE: f64 = 0.5;
 
 /// A page's record.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -7,6 +7,9 @@
 use shaleshunt_wire::worker::split_piece;
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A job about which no question is answered for so long counts as forgotten.
+const FORGOTTEN_MS: u64 = 75_000;
+
 /// A machine as far as the rules care.
 #[derive(Debug, Clone)]
 pub struct Place {
@@ -35,6 +38,10 @@
     asked_cancel: BTreeSet<String>,
     cancelled: BTreeMap<String, u64>,
     done: BTreeSet<String>,
+    /// When the first task of a job started.
+    pub begun: BTreeMap<String, u64>,
+    /// When a question about a job was last answered.
+    pub answered: BTreeMap<String, u64>,
     /// Rules broken: which, when and what.
     pub broken: Vec<String>,
     /// Starts seen.
@@ -69,6 +76,7 @@
     fn started(&mut self, now: u64, loom: &str, place: &Place, piece: &str, attempt: u64) {
         self.starts += 1;
         let Some((job, _)) = split_piece(piece) else { return };
+        self.begun.entry(job.into()).or_insert(now);
         let Some(spec) = self.jobs.get(job).cloned() else {
             self.break_rule(now, "invented", &format!("{piece} runs, but nobody submitted it"));
             return;
@@ -126,6 +134,7 @@
                     return;
                 };
                 self.accepted.insert(job.into());
+                self.answered.insert(job.into(), now);
                 if self.done.contains(job) && state != JobStatus::Done
                     || self.cancelled.contains_key(job) && state != JobStatus::Aborted
                     || state == JobStatus::Aborted && !self.asked_cancel.contains(job)
@@ -163,6 +172,17 @@
         }
     }
 
+    /// Looks for an accepted job about which no question was answered for long, though its user asks
+    /// all the time and all troubles have been over since `calm`.
+    pub fn silence(&mut self, now: u64, calm: u64, job: &str) {
+        let since = self.answered.get(job).copied().unwrap_or(0).max(calm);
+        if self.accepted.contains(job) && now > since + FORGOTTEN_MS {
+            self.break_rule(now, "forgotten", &format!("no question about {job} answered since {since}"));
+            // Said once.
+            self.answered.insert(job.into(), u64::MAX / 2);
+        }
+    }
+
     /// How many of a job's tasks are on machines now.
     pub fn running(&self, job: &str) -> usize {
         self.on.iter().filter(|(p, _)| split_piece(p).is_some_and(|(j, _)| j == job)).map(|(_, l)| l.len()).sum()
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -127,8 +127,9 @@
                 }
                 "machines" => s.machines.push((w.next()?.into(), w.next()?.into(), w.number()?)),
                 "job" => {
-                    let (spec, at, withdraw, copies) = job(&mut w)?;
+                    let (spec, at, withdraw, copies, every) = job(&mut w)?;
                     for n in 1..=copies {
+                        let at = at + u64::from(n - 1) * every;
                         let id = if copies > 1 { format!("{}-{n}", spec.id) } else { spec.id.clone() };
                         s.jobs.push((Submission { id, ..spec.clone() }, at, withdraw));
                     }
@@ -233,6 +234,12 @@
             let when = over(job).filter(|_| w.check.is_done(job));
             check(when.is_some_and(|at| at <= t), format!("{job} done at {when:?}, not by {t}"))
         }
+        ["begun", job, "by", t] => {
+            let t = number(t)?;
+            let when = w.check.begun.get(job).map(|t| *t as f64 / 1000.0);
+            check(when.is_some_and(|at| at <= t), format!("{job} begun at {when:?}, not by {t}"))
+        }
+        ["half", "served"] => half_served(w),
         ["all", "over"] => {
             let open: Vec<&String> = w.users.iter().filter(|(_, u)| u.over_at.is_none()).map(|(j, _)| j).collect();
             check(open.is_empty(), format!("not over: {open:?}"))
@@ -271,6 +278,37 @@
     }
 }
 
+/// At least half of each class, of each team and of each class's largest jobs is served: done, or
+/// for a service all replicas running. Cancelled jobs do not count.
+fn half_served(w: &World) -> Result<(), String> {
+    let served = |s: &Submission| {
+        let runs = s.shape == Shape::Daemon && w.check.running(&s.id) >= s.pieces as usize;
+        w.check.is_done(&s.id) || runs
+    };
+    let mut groups: BTreeMap<String, Vec<&Submission>> = BTreeMap::new();
+    for u in w.users.values().filter(|u| u.withdraw_at.is_none()) {
+        groups.entry(format!("class {}", u.spec.jobline)).or_default().push(&u.spec);
+        groups.entry(format!("team {}", u.spec.crew)).or_default().push(&u.spec);
+    }
+    let largest: Vec<(String, Vec<&Submission>)> = groups
+        .iter()
+        .filter(|(name, _)| name.starts_with("class"))
+        .map(|(name, jobs)| {
+            let mut jobs = jobs.clone();
+            jobs.sort_by_key(|s| std::cmp::Reverse(s.pieces));
+            jobs.truncate(jobs.len().div_ceil(10));
+            (format!("largest of {name}"), jobs)
+        })
+        .collect();
+    for (name, jobs) in groups.into_iter().chain(largest) {
+        let n = jobs.iter().filter(|s| served(s)).count();
+        if n * 2 < jobs.len() {
+            return Err(format!("{name}: {n} of {} served", jobs.len()));
+        }
+    }
+    Ok(())
+}
+
 fn frame(w: &mut Words, zones: &[String]) -> Result<Frame, BadLine> {
     let mut f = Frame {
         name: w.next()?.into(),
@@ -296,7 +334,7 @@
     Ok(f)
 }
 
-fn job(w: &mut Words) -> Result<(Submission, u64, Option<u64>, u32), BadLine> {
+fn job(w: &mut Words) -> Result<(Submission, u64, Option<u64>, u32, u64), BadLine> {
     let mut s = Submission {
         id: w.next()?.into(),
         jobline: "work".into(),
@@ -321,7 +359,7 @@
     };
     w.word("at")?;
     let at = w.ms()?;
-    let (mut withdraw, mut copies) = (None, 1);
+    let (mut withdraw, mut copies, mut every) = (None, 1, 0);
     while !w.0.is_empty() {
         match w.next()? {
             "array" => s.shape = Shape::Array,
@@ -329,6 +367,7 @@
             "gang" => s.shape = Shape::Ensemble,
             "pieces" => s.pieces = w.number()?,
             "copies" => copies = w.number()?,
+            "every" => every = w.ms()?,
             "cores" => s.cores = w.number()?,
             "ram" => s.ram_gb = w.number()?,
             "run" => s.expect_s = w.number()?,
@@ -348,7 +387,7 @@
             other => return w.fail(format!("no such word of a job: {other}")),
         }
     }
-    Ok((s, at, withdraw, copies))
+    Ok((s, at, withdraw, copies, every))
 }
 
 fn trouble(w: &mut Words) -> Result<Trouble, BadLine> {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -127,6 +127,29 @@
     LostUnder(String),
 }
 
+impl Trouble {
+    /// How long it lasts, in ms.
+    fn lasts(&self) -> u64 {
+        match self {
+            Trouble::Kill(_, ms)
+            | Trouble::StateDown(ms)
+            | Trouble::StateRefuses(_, ms)
+            | Trouble::Cut(_, _, ms, _)
+            | Trouble::ZoneCut(_, ms, _)
+            | Trouble::PeersRefuse(ms)
+            | Trouble::Deaf(_, ms)
+            | Trouble::LateTxn(_, ms)
+            | Trouble::Hang(_, ms)
+            | Trouble::Sick(_, ms)
+            | Trouble::Slow(_, ms, _)
+            | Trouble::Taken(_, ms)
+            | Trouble::CloudDown(ms) => *ms,
+            Trouble::LateCopies(ms, by) | Trouble::LateOrders(_, ms, by) | Trouble::LateHires(ms, by) => ms + by,
+            Trouble::Lost(_) | Trouble::Duds(_) | Trouble::Broken(_) | Trouble::LostUnder(_) => 0,
+        }
+    }
+}
+
 /// What a cut separates a node from.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Side {
@@ -178,6 +201,8 @@
     late_hires: (u64, u64),
     broken: BTreeSet<String>,
     warned: BTreeMap<String, u64>,
+    /// When the last trouble so far is over.
+    calm: u64,
     /// Log lines, if wanted.
     pub log: Option<Vec<String>>,
 }
@@ -224,6 +249,7 @@
             late_hires: (0, 0),
             broken: BTreeSet::new(),
             warned: BTreeMap::new(),
+            calm: 0,
             log: None,
         };
         w.check.limits = w.settings[0].teams.iter().map(|(n, t)| (n.clone(), t.limit.0 as f64 / 1000.0)).collect();
@@ -441,6 +467,9 @@
             self.worker_turn(&name);
         }
         self.check.turn(now);
+        for (job, _) in self.users.iter().filter(|(_, u)| u.accepted && !u.over) {
+            self.check.silence(now, self.calm, job);
+        }
         for i in 0..self.nodes.len() {
             self.step(i, Command::Tick);
         }
@@ -723,6 +752,7 @@
 
     fn begin(&mut self, t: Trouble) {
         let now = self.now;
+        self.calm = self.calm.max(now + t.lasts());
         match t {
             Trouble::Kill(nodes, back) => {
                 for i in nodes {
--- a/crates/testkit/tests/checker.rs
+++ b/crates/testkit/tests/checker.rs
@@ -65,4 +65,12 @@
     assert!(c.broken.is_empty());
     c.machine(50_002, "vm-1", &place, &on("wk-1/0", 1));
     assert!(found(&c, "ran_cancelled"));
+
+    let (mut c, _) = checker();
+    c.told(1, "wk-1", 201, Some(JobStatus::Queued));
+    c.silence(75_001, 0, "wk-1");
+    c.silence(76_000, 2_000, "wk-1");
+    assert!(c.broken.is_empty(), "not silent for long enough since all was calm");
+    c.silence(77_001, 2_000, "wk-1");
+    assert!(found(&c, "forgotten"), "no answer for 75 s");
 }
