--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -428,8 +428,8 @@
         let orders = self.orders_for(id, false);
         let Some(m) = self.looms.get_mut(id) else { return };
         m.push = false;
-        // With nothing to say it is asked only to confirm the token.
-        if orders.is_empty() && m.ours && m.deaf == 0 {
+        // With nothing to say it is asked only to confirm the token, or that it lives.
+        if orders.is_empty() && m.ours && m.deaf == 0 && !confirms {
             return;
         }
         let baton = (self.epoch << crate::leader::TOKEN_BITS) + m.bump;
@@ -601,6 +601,27 @@
         }
     }
 
+    /// Asks hired machines whose report is overdue whether they live: one that was taken without
+    /// notice is found out in half the time that its silence alone would need. Where many are
+    /// overdue at once it is the network, or us.
+    pub(crate) fn ask_overdue(&mut self, ctx: &mut Ctx) {
+        let now = ctx.now.mono;
+        // Reports come a quarter of an interval late at most.
+        let late = ctx.set.report_ms() * 13 / 10;
+        let overdue = |m: &&Loom| m.heard.is_some_and(|h| now.saturating_sub(h) > late) && !m.leaving && !m.cut;
+        let all: Vec<Id> = self.looms.values().filter(overdue).map(|m| m.id.clone()).collect();
+        self.few_overdue = all.len() <= (self.looms.len() / 50).max(2);
+        if !self.few_overdue {
+            return;
+        }
+        for id in all {
+            let asks = |m: &Loom| !m.owned && !m.places.is_empty() && m.call.is_none() && now >= m.call_after;
+            if self.looms.get(&id).is_some_and(asks) {
+                self.call(ctx, &id, true);
+            }
+        }
+    }
+
     /// Whether no controller in a zone can still keep the lease of a machine last heard at a time:
     /// each has said, a lease later, that it kept none since; or it has not heard from us for so
     /// long that its term is over, and a lease as well.
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -124,6 +124,8 @@
     pub(crate) sample_from: Option<Id>,
     /// By zone: when last a machine in it reported, and how many do.
     pub(crate) zones_heard: BTreeMap<String, (u64, u32)>,
+    /// Machines whose reports are overdue are few: it is them and not us.
+    pub(crate) few_overdue: bool,
     /// Zones from which nobody reports.
     pub(crate) zones_cut: BTreeSet<String>,
     pub(crate) plan_at: u64,
@@ -202,6 +204,7 @@
             spot_below: 0.0,
             sample_from: None,
             zones_heard: BTreeMap::new(),
+            few_overdue: false,
             zones_cut: BTreeSet::new(),
             plan_at: now,
             floor_at: now,
@@ -592,6 +595,7 @@
             self.floor_at = now + ctx.set.report_ms() / 8;
             self.watch_floor(ctx);
             self.watch_speed(ctx);
+            self.ask_overdue(ctx);
         }
         if now >= self.told_at {
             self.told_at = now + ctx.set.report_ms();
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -427,7 +427,8 @@
                         let hurry = m.places.iter().any(|p| self.jobs.get(&p.job).is_some_and(|j| j.due().is_some()));
                         quiet > if hurry { silence * 2 / 3 } else { set.blind_ms() + set.lease_over_ms() }
                     } else {
-                        quiet > silence
+                        let asked = m.deaf > 0 && self.few_overdue;
+                        quiet > if asked { silence / 2 } else { silence }
                     };
                     m.leaving |= m.places.is_empty()
                         && (m.warned.is_some()
