--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -111,3 +111,56 @@
         while status(address, up).await != Some(200) {}
     });
 }
+
+#[test]
+fn the_largest_bodies_are_taken() {
+    with_server(64, Duration::from_secs(60), |address| async move {
+        // A submission that just fits, padded by a field that nobody knows.
+        let pad = |n: usize| GOOD.replacen("\"field\":1", &format!("\"field\":\"{}\"", "x".repeat(n)), 1);
+        let fits = pad(64 * 1024 - pad(0).len());
+        assert_eq!(fits.len(), 64 * 1024);
+        assert_eq!(status(address, &post("/submissions", &fits)).await, Some(200));
+        assert_eq!(status(address, &post("/submissions", &(fits + " "))).await, Some(413));
+        // A report with hundreds of tasks, some of states that this version does not know.
+        let pieces: Vec<String> = (0..700)
+            .map(|n| format!(r#"{{"piece":"wk-000412/{n}","try":{n},"status":"{}"}}"#, ["running", "resting"][n % 2]))
+            .collect();
+        let report = format!(
+            r#"{{"loom":"vm-1","endpoint":"10.0.0.1:9","frame":"f","hall":"a","borrowed":true,"shift":1,"tick":9,
+            "baton":18446744073709551615,"warnS":null,"pieces":[{}]}}"#,
+            pieces.join(",")
+        );
+        assert!(report.len() < 64 * 1024);
+        assert_eq!(status(address, &post("/checkin", &report)).await, Some(200));
+    });
+}
+
+#[test]
+fn a_flood_is_turned_away_at_once_with_a_time_to_come_back() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        // An owner that has not come to its queue yet.
+        let (asks, asked) = mpsc::channel(8);
+        let minute = Duration::from_secs(60);
+        let limits = Limits { connections: 64, patience: minute, answer: minute };
+        tokio::task::spawn_local(serve(listener, asks.clone(), limits));
+        let mut waiting = Vec::new();
+        for _ in 0..8 {
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(&post("/submissions", GOOD)).await.unwrap();
+            waiting.push(stream);
+        }
+        while asks.capacity() > 0 {
+            tokio::task::yield_now().await;
+        }
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(b"GET /submissions/wk-77 HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n").await.unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).await.unwrap();
+        assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+        assert!(text.to_lowercase().contains("retry-after: 1"), "{text}");
+        drop(asked);
+    });
+}
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -32,6 +32,8 @@
     machines: Vec<(String, String, u32)>,
     jobs: Vec<(Submission, u64, Option<u64>)>,
     troubles: Vec<(u64, Trouble)>,
+    stored: Vec<(String, serde_json::Value)>,
+    completed: Vec<String>,
     until: u64,
     expects: Vec<(usize, Vec<String>)>,
 }
@@ -85,6 +87,8 @@
             machines: Vec::new(),
             jobs: Vec::new(),
             troubles: Vec::new(),
+            stored: Vec::new(),
+            completed: Vec::new(),
             until: 60_000,
             expects: Vec::new(),
         };
@@ -134,6 +138,15 @@
                         s.jobs.push((Submission { id, ..spec.clone() }, at, withdraw));
                     }
                 }
+                "completed" => s.completed.push(w.next()?.into()),
+                "store" => {
+                    let key = w.next()?.to_string();
+                    let text = w.0.drain(..).collect::<Vec<_>>().join(" ");
+                    match serde_json::from_str(&text) {
+                        Ok(v) => s.stored.push((key, v)),
+                        Err(e) => return w.fail(format!("not JSON: {e}")),
+                    }
+                }
                 "at" => {
                     let at = w.ms()?;
                     let t = trouble(&mut w)?;
@@ -187,6 +200,10 @@
                 w.cloud.give(0, f, z, false, Some(0));
             }
         }
+        w.check.completed.extend(self.completed.iter().cloned());
+        for (key, v) in &self.stored {
+            w.state.store(key, v.clone());
+        }
         for (spec, at, withdraw) in &self.jobs {
             w.user(spec.clone(), *at, *withdraw);
         }
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -151,6 +151,12 @@
         }
     }
 
+    /// Puts a key there from the beginning.
+    pub fn store(&mut self, key: &str, v: Value) {
+        self.ledger += 1;
+        self.set(key.into(), v, None);
+    }
+
     /// Ends leases and answers watches that are due.
     pub fn turn(&mut self, now: u64) -> Vec<((usize, u32), u64, StateReply)> {
         if self.down {
