Nothing is hired in a zone that is cut off, and a new leader sees that one is

Cause: hires go to the zone with the fewest machines, and in a cut that is the one that lost them. What booted there counted as room on its way for four boot times.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -321,6 +321,11 @@
             }
             self.queue_write(now, id);
         }
+        // A zone may be cut off already: its machines have two reporting intervals to be heard.
+        for m in self.looms.values().filter(|m| !m.hall.is_empty()) {
+            let z = self.zones_heard.entry(m.hall.clone()).or_insert((now + ctx.set.report_ms() * 2, 0));
+            z.1 += 1;
+        }
         // All are asked, some at a time, so that the new token is confirmed before the next report.
         self.confirm =
             self.looms.values().filter(|m| !m.endpoint.is_empty() && m.shift > 0).map(|m| m.id.clone()).collect();
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -279,7 +279,8 @@
         let mut needed: Vec<Id> = Vec::new();
         let mut spaces: Vec<Space> = Vec::new();
         for m in self.looms.values() {
-            let coming = m.heard.is_none() && !m.leaving;
+            // What boots in a zone that is cut off is of no use before that is over.
+            let coming = m.heard.is_none() && !m.leaving && !self.zones_cut.contains(&m.hall);
             if m.usable(now, &ctx.set) || coming {
                 let (frame, hall) = (m.frame.clone(), m.hall.clone());
                 spaces.push(Space { frame, hall, borrowed: m.borrowed, free: m.free(), loom: Some(m.id.clone()) });
@@ -383,7 +384,7 @@
     ) -> Option<Place> {
         let mut best: Option<((i64, u32), Place)> = None;
         for f in catalog.frames.iter().filter(|f| f.room().fits(&job.need)) {
-            for hall in &f.halls {
+            for hall in f.halls.iter().filter(|h| !self.zones_cut.contains(*h)) {
                 for borrowed in [true, false] {
                     let place = (f.name.clone(), hall.clone(), borrowed);
                     let refused = self.refused.get(&place).is_some_and(|r| r.0 > ctx.now.mono);
