--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -70,6 +70,7 @@
 pub async fn run(settings: Settings, tuning: Tuning, wiring: Wiring) -> std::io::Result<()> {
     let front = TcpListener::bind(&wiring.front).await?;
     let back = TcpListener::bind(&wiring.back).await?;
+    tracing::info!("{}: serves on {}, peers on {}", settings.label, wiring.front, wiring.back);
     let report = Duration::from_secs_f64(settings.report_s);
     let patience = report.mul_f64(0.4);
     let by_memory = (settings.mem_mb * 1024.0 / 2.0 / CONNECTION_KIB) as usize;
