--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -450,7 +450,19 @@
             let best = room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string());
             seats.retain(|s| Some(&s.loom.hall) == best.as_ref());
         }
-        seats.sort_by_key(|s| s.fit);
+        // A job is done when its last task is: kept together, fewer jobs lose something to a zone's
+        // cut. Where it has tasks already, else where most of it finds room.
+        let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+        for s in &seats {
+            let there = job.zones.get(&s.loom.hall).copied().unwrap_or(0);
+            let room = zones.entry(&s.loom.hall).or_insert((there, 0));
+            room.1 += s.times;
+        }
+        let home = zones.into_iter().max_by_key(|(_, rank)| *rank).map(|(z, _)| z);
+        seats.sort_by_key(|s| {
+            let (sick, first, rented, free) = s.fit;
+            (sick, first, Some(s.loom.hall.as_str()) != home, rented, free)
+        });
         for s in seats {
             let left = most - found.len() as u32;
             if left == 0 {
