--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -133,7 +133,9 @@
     /// Sends what is due, if nothing is under way.
     pub(crate) fn commit(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
-        let rate = ctx.set.state_write_rps * ctx.tune.write_share;
+        // Users' submissions go first: while some wait, half of the share is left to them.
+        let part = if ctx.accepting { 0.5 } else { 1.0 };
+        let rate = ctx.set.state_write_rps * ctx.tune.write_share * part;
         let gained = now.saturating_sub(self.writes_at) as f64 / 1000.0 * rate;
         self.writes = (self.writes + gained).min(rate.max(1.0));
         self.writes_at = now;
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -15,6 +15,7 @@
 #[derive(Debug)]
 pub(crate) enum FrontWait {
     Accept(Vec<Pending>),
+    Compare(Vec<Asked>),
     Job(Asked),
     Final(Asked),
     Withdraw(Asked),
@@ -53,14 +54,56 @@
 pub(crate) struct Front {
     queue: VecDeque<Pending>,
     flying: u32,
-    finals: HashMap<String, (JobStatus, u32)>,
-    order: VecDeque<String>,
+    /// Most acceptances in one transaction, fewer while the state service refuses: a large one finds
+    /// its writes all at once less often than a small one.
+    most: usize,
+    /// Polls of jobs whose records are known, since when they wait: one transaction that only
+    /// compares tells of many whether their records are still the same.
+    polls: VecDeque<(u64, Asked)>,
+    comparing: u32,
+    /// Reads for polls that may be sent now.
+    reads: f64,
+    reads_at: u64,
+    /// Versions of unfinished jobs' records as last seen.
+    stamps: Remembered<u64>,
+    finals: Remembered<(JobStatus, u32)>,
     /// When to try the direct way to the state service again.
     pub probe_at: u64,
     retry_at: u64,
 }
 
+/// What is remembered of jobs, the oldest forgotten first.
+struct Remembered<T> {
+    of: HashMap<String, T>,
+    order: VecDeque<String>,
+}
+
+impl<T> Default for Remembered<T> {
+    fn default() -> Self {
+        Remembered { of: HashMap::new(), order: VecDeque::new() }
+    }
+}
+
+impl<T> Remembered<T> {
+    fn insert(&mut self, job: &str, what: T, cap: usize) {
+        if self.of.insert(job.to_string(), what).is_none() {
+            self.order.push_back(job.to_string());
+            if self.order.len() > cap
+                && let Some(old) = self.order.pop_front()
+            {
+                self.of.remove(&old);
+            }
+        }
+    }
+}
+
 const COME_BACK: u32 = 1;
+/// Share of the state service's requests that reads for polls of all nodes take, and that one node's
+/// comparisons take: what is over is told to come back, so that leases and elections find room.
+const READ_SHARE: f64 = 0.5;
+const COMPARE_SHARE: f64 = 0.05;
+/// Transactions that compare for polls under way at once.
+const COMPARING: u32 = 2;
 /// Transactions of acceptances under way at once.
 const FLYING: u32 = 2;
 
@@ -119,33 +162,110 @@
             ctx.answer(asked.id, Answer::Job(200, view));
         } else if ctx.state_down() {
             ctx.answer(asked.id, unavailable("state service does not answer"));
+        } else if asked.why == Why::Poll && self.stamps.of.contains_key(&asked.job) {
+            self.polls.push_back((ctx.now.mono, asked));
         } else {
             self.read(ctx, asked);
         }
     }
 
+    /// How many submissions wait to be written.
+    pub fn waiting(&self) -> u32 {
+        self.queue.len() as u32
+    }
+
+    /// Versions of jobs' records, as the leader has them. An old one does no harm: it is found out
+    /// when it is compared.
+    pub fn learn<'a>(&mut self, ctx: &Ctx, jobs: impl Iterator<Item = (&'a str, u64)>) {
+        let cap = Self::cap(ctx);
+        for (job, stamp) in jobs {
+            match self.stamps.of.get_mut(job) {
+                Some(known) => *known = stamp.max(*known),
+                None => self.stamps.insert(job, stamp, cap),
+            }
+        }
+    }
+
+    /// Answers polls of jobs whose records are known, many with one transaction that only compares:
+    /// as fresh as a read, at a fraction of the requests.
+    fn compare(&mut self, ctx: &mut Ctx) {
+        let most = ctx.set.txn_ops.max(1) * shaleshunt_wire::CONDITIONS_PER_WRITE;
+        let gap = (1000.0 / (ctx.set.state_rps * COMPARE_SHARE)).min(shaleshunt_wire::POLL_PATIENCE_S * 250.0) as u64;
+        if ctx.state_down() {
+            for (_, asked) in std::mem::take(&mut self.polls) {
+                ctx.answer(asked.id, unavailable("state service does not answer"));
+            }
+        }
+        while self.comparing < COMPARING
+            && let Some((since, _)) = self.polls.front()
+            && (self.polls.len() >= most || ctx.now.mono.saturating_sub(*since) >= gap)
+        {
+            let mut txn = Txn { conditions: Vec::new(), writes: Vec::new() };
+            let mut batch = Vec::new();
+            while txn.conditions.len() < most
+                && let Some((_, asked)) = self.polls.pop_front()
+            {
+                let Some(stamp) = self.stamps.of.get(&asked.job).copied() else {
+                    self.read(ctx, asked);
+                    continue;
+                };
+                let path = format!("{}{}", keys::JOBS, asked.job);
+                if !txn.conditions.iter().any(|c| c.path == path) {
+                    txn.conditions.push(Condition { path, stamp });
+                }
+                batch.push(asked);
+            }
+            if !batch.is_empty() {
+                self.comparing += 1;
+                ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Compare(batch)));
+            }
+        }
+    }
+
+    /// A job is as its record says: neither finished nor cancelled.
+    fn open_job(ctx: &mut Ctx, asked: Asked, counts: &HashMap<String, (u32, u32)>, leader: Option<&Leader>) {
+        let (done, running) = match leader {
+            Some(l) => l.count(&asked.job),
+            None => counts.get(&asked.job).copied().unwrap_or((0, 0)),
+        };
+        let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
+        let view = JobView { id: asked.job, status, done: Some(done), running: Some(running) };
+        ctx.answer(asked.id, Answer::Job(200, view));
+    }
+
     fn read(&mut self, ctx: &mut Ctx, asked: Asked) {
+        if asked.why == Why::Poll {
+            // Nodes that are heard share it.
+            let rate = ctx.set.state_rps * READ_SHARE / f64::from(1 + ctx.live_peers);
+            let gained = ctx.now.mono.saturating_sub(self.reads_at) as f64 / 1000.0 * rate;
+            self.reads = (self.reads + gained).min(rate.max(1.0));
+            self.reads_at = ctx.now.mono;
+            if self.reads < 1.0 {
+                ctx.answer(asked.id, unavailable("too many at once"));
+                return;
+            }
+            self.reads -= 1.0;
+        }
         let key = format!("{}{}", keys::JOBS, asked.job);
         ctx.state(StateRequest::Get { key }, Wait::Front(FrontWait::Job(asked)));
     }
 
     fn remembered(&self, job: &str) -> Option<JobView> {
-        self.finals.get(job).map(|&(status, n)| final_view(job, status, n))
+        self.finals.of.get(job).map(|&(status, n)| final_view(job, status, n))
     }
 
-    fn remember(&mut self, job: &str, status: JobStatus, n: u32, cap: usize) {
-        if self.finals.insert(job.to_string(), (status, n)).is_none() {
-            self.order.push_back(job.to_string());
-            if self.order.len() > cap
-                && let Some(old) = self.order.pop_front()
-            {
-                self.finals.remove(&old);
-            }
-        }
+    /// Most jobs remembered of each kind: a small share of the memory limit.
+    fn cap(ctx: &Ctx) -> usize {
+        (ctx.set.mem_mb * 1024.0 * 1024.0 / 100.0 / 200.0) as usize
+    }
+
+    fn remember(&mut self, ctx: &Ctx, job: &str, status: JobStatus, n: u32) {
+        self.finals.insert(job, (status, n), Self::cap(ctx));
     }
 
     /// Sends waiting acceptances, many in one transaction.
     pub fn turn(&mut self, ctx: &mut Ctx) {
+        self.compare(ctx);
         let patience = (shaleshunt_wire::SUBMIT_PATIENCE_S * 1000.0 * 0.6) as u64;
         while self.queue.front().is_some_and(|p| ctx.now.mono.saturating_sub(p.since) > patience) {
             if let Some(p) = self.queue.pop_front() {
@@ -174,7 +294,7 @@
                 txn.conditions.push(Condition { path: format!("{}{}", keys::FINALS, p.spec.id), stamp: 0 });
                 txn.writes.push(Write::set(key, v));
                 batch.push(p);
-                if batch.len() >= ctx.set.txn_ops.max(1) {
+                if batch.len() >= self.most.clamp(1, ctx.set.txn_ops.max(1)) {
                     break;
                 }
             }
@@ -193,8 +313,6 @@
         counts: &HashMap<String, (u32, u32)>,
         leader: Option<&Leader>,
     ) {
-        // Final states are remembered in a small share of the memory limit.
-        let cap = (ctx.set.mem_mb * 1024.0 * 1024.0 / 100.0 / 200.0) as usize;
         match wait {
             FrontWait::Probe => {
                 if result.is_ok() {
@@ -206,6 +324,36 @@
                 self.flying -= 1;
                 self.accepted(ctx, batch, result);
             }
+            FrontWait::Compare(batch) => {
+                self.comparing -= 1;
+                match result {
+                    Ok(StateReply::Committed(_)) => {
+                        for asked in batch {
+                            Self::open_job(ctx, asked, counts, leader);
+                        }
+                    }
+                    // What changed is read; of the others nothing is said.
+                    Ok(StateReply::Conflict(failed)) => {
+                        for f in &failed {
+                            self.stamps.of.remove(f.get(keys::JOBS.len()..).unwrap_or_default());
+                        }
+                        let known = |a: &Asked| self.stamps.of.contains_key(&a.job);
+                        let (same, changed): (Vec<_>, Vec<_>) = batch.into_iter().partition(known);
+                        let (again, read) = if changed.is_empty() { (changed, same) } else { (same, changed) };
+                        for asked in read {
+                            self.read(ctx, asked);
+                        }
+                        for asked in again.into_iter().rev() {
+                            self.polls.push_front((0, asked));
+                        }
+                    }
+                    _ => {
+                        for asked in batch {
+                            ctx.answer(asked.id, unavailable("state service does not answer"));
+                        }
+                    }
+                }
+            }
             FrontWait::Job(asked) => match result {
                 Ok(StateReply::Found(pair)) => {
                     let Ok(rec) = serde_json::from_value::<JobRecord>(pair.v) else {
@@ -213,7 +361,7 @@
                         return;
                     };
                     if rec.x {
-                        self.remember(&asked.job, JobStatus::Aborted, rec.s.pieces, cap);
+                        self.remember(ctx, &asked.job, JobStatus::Aborted, rec.s.pieces);
                         let view = final_view(&asked.job, JobStatus::Aborted, rec.s.pieces);
                         ctx.answer(asked.id, Answer::Job(200, view));
                     } else if asked.why == Why::Withdraw {
@@ -231,13 +379,8 @@
                         };
                         ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Withdraw(asked)));
                     } else {
-                        let (done, running) = match leader {
-                            Some(l) => l.count(&asked.job),
-                            None => counts.get(&asked.job).copied().unwrap_or((0, 0)),
-                        };
-                        let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
-                        let view = JobView { id: asked.job, status, done: Some(done), running: Some(running) };
-                        ctx.answer(asked.id, Answer::Job(200, view));
+                        self.stamps.insert(&asked.job, pair.stamp, Self::cap(ctx));
+                        Self::open_job(ctx, asked, counts, leader);
                     }
                 }
                 // Not among the unfinished at this moment: either finished before, and then its
@@ -252,7 +395,7 @@
                 Ok(StateReply::Found(pair)) => match serde_json::from_value::<FinalRecord>(pair.v) {
                     Ok(rec) => {
                         let status = if rec.x { JobStatus::Aborted } else { JobStatus::Done };
-                        self.remember(&asked.job, status, rec.n, cap);
+                        self.remember(ctx, &asked.job, status, rec.n);
                         ctx.answer(asked.id, Answer::Job(200, final_view(&asked.job, status, rec.n)));
                     }
                     Err(_) => ctx.answer(asked.id, unavailable("record not understood")),
@@ -276,7 +419,7 @@
             },
             FrontWait::Withdraw(mut asked) => match result {
                 Ok(StateReply::Committed(_)) => {
-                    self.remember(&asked.job, JobStatus::Aborted, 0, cap);
+                    self.remember(ctx, &asked.job, JobStatus::Aborted, 0);
                     ctx.log(Severity::Info, format!("job {} withdrawn", asked.job));
                     ctx.answer(asked.id, Answer::Job(200, final_view(&asked.job, JobStatus::Aborted, 0)));
                 }
@@ -291,8 +434,10 @@
 
     fn accepted(&mut self, ctx: &mut Ctx, batch: Vec<Pending>, result: Result<StateReply, IoError>) {
         match result {
-            Ok(StateReply::Committed(_)) => {
+            Ok(StateReply::Committed(ledger)) => {
+                self.most = (self.most * 2).clamp(2, ctx.set.txn_ops.max(2));
                 for p in batch {
+                    self.stamps.insert(&p.spec.id, ledger, Self::cap(ctx));
                     ctx.log(Severity::Debug, format!("job {} accepted", p.spec.id));
                     let view = JobView { id: p.spec.id, status: JobStatus::Queued, done: None, running: None };
                     ctx.answer(p.id, Answer::Job(201, view));
@@ -311,7 +456,8 @@
             }
             // Not carried out: again soon, within the user's patience.
             Err(IoError::Throttled) => {
-                self.retry_at = ctx.now.mono + 60;
+                self.retry_at = ctx.now.mono + ctx.set.report_ms() / 60;
+                self.most = batch.len() / 2;
                 for p in batch.into_iter().rev() {
                     self.queue.push_front(p);
                 }
--- a/crates/core/src/io.rs
+++ b/crates/core/src/io.rs
@@ -102,6 +102,9 @@
     /// The service calls the request wrong.
     #[error("called wrong: {0}")]
     Rejected(String),
+    /// The answer is longer than what is taken.
+    #[error("answer too long")]
+    TooLong,
     /// The answer makes no sense.
     #[error("senseless answer")]
     Senseless,
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -24,7 +24,7 @@
 /// Steps of the leader that wait for an answer.
 #[derive(Debug)]
 pub(crate) enum LeadWait {
-    Load(&'static str),
+    Load(&'static str, String),
     Renew,
     Watch,
     Commit,
@@ -245,7 +245,7 @@
 
     fn load(&mut self, ctx: &mut Ctx, prefix: &'static str, after: String) {
         self.loading += 1;
-        let wait = self.wait(LeadWait::Load(prefix));
+        let wait = self.wait(LeadWait::Load(prefix, after.clone()));
         ctx.state(StateRequest::Scan { prefix: prefix.into(), after }, wait);
     }
 
@@ -534,8 +534,13 @@
         result: Result<StateReply, IoError>,
     ) {
         match (wait, result) {
-            (LeadWait::Load(prefix), Ok(StateReply::Page(page))) => self.loaded(ctx, prefix, page),
-            (LeadWait::Load(_), _) => self.down = Some("could not read everything"),
+            (LeadWait::Load(prefix, _), Ok(StateReply::Page(page))) => self.loaded(ctx, prefix, page),
+            // Once more: after an outage all ask at once. The lease says for how long that is of use.
+            (LeadWait::Load(prefix, after), Err(_)) => {
+                self.loading -= 1;
+                self.load_retry.push((prefix, after, ctx.now.mono + ctx.set.report_ms() / 60));
+            }
+            (LeadWait::Load(..), _) => self.down = Some("could not read everything"),
             (LeadWait::Renew, result) => {
                 self.renewing = false;
                 match result {
@@ -590,6 +595,10 @@
             let wait = self.wait(LeadWait::Renew);
             ctx.state(StateRequest::Renew { pass: self.pass }, wait);
         }
+        while let Some(i) = self.load_retry.iter().position(|(.., at)| now >= *at) {
+            let (prefix, after, _) = self.load_retry.swap_remove(i);
+            self.load(ctx, prefix, after);
+        }
         if !self.active {
             return;
         }
@@ -801,14 +810,15 @@
         self.jobs.get(job).map_or((0, 0), |j| (j.done_count, j.running))
     }
 
-    /// Counts of all jobs, for the other nodes' display.
-    pub(crate) fn counts(&self) -> Vec<(String, u32, u32)> {
-        // Many more jobs than a frame may hold are shown by the leader alone.
+    /// Counts of all jobs and their records' versions, for the other nodes.
+    pub(crate) fn counts(&self) -> Vec<(String, u64, u32, u32)> {
+        // A job takes some 30 bytes of a frame. Of many more than a frame may hold, the rest is
+        // shown by the leader alone and read at each poll.
         self.jobs
             .values()
-            .map(|j| (j.id.to_string(), j.done_count, j.running))
-            .filter(|(_, done, running)| done + running > 0)
-            .take(3000)
+            .filter(|j| !j.aborted)
+            .map(|j| (j.id.to_string(), j.stamp, j.done_count, j.running))
+            .take(shaleshunt_peer::MAX_FRAME / 256)
             .collect()
     }
 }
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -51,6 +51,10 @@
     pub state_bad: u64,
     /// Peer that passes requests to the state service for us.
     pub via: Option<String>,
+    /// Users' submissions wait for the state service, here or at a peer.
+    pub accepting: bool,
+    /// Peers heard lately.
+    pub live_peers: u32,
     /// What the other controllers may have done for machines of their zones.
     pub keepers: BTreeMap<String, Keeper>,
 }
@@ -108,6 +112,8 @@
     state_age_ms: u32,
     /// Its process and clock at its last pulse.
     pulse: (u64, u64),
+    /// Acceptances that wait there.
+    waiting: u32,
 }
 
 /// The leader as this node last heard it: what it needs to keep its zone's leases without it.
@@ -168,6 +174,8 @@
                 state_ok: now.mono,
                 state_bad: 0,
                 via: None,
+                accepting: false,
+                live_peers: 0,
                 keepers,
             },
             front: Front::default(),
@@ -495,9 +503,9 @@
     fn peer(&mut self, from: String, frame: Frame) {
         let now = self.ctx.now.mono;
         match frame {
-            Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms } => {
+            Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms, waiting } => {
                 let Some(p) = self.peers.get_mut(&from) else { return };
-                *p = PeerView { heard: now, state_age_ms, pulse: (born, at) };
+                *p = PeerView { heard: now, state_age_ms, pulse: (born, at), waiting };
                 let answers_us = echo.0 == self.born && echo.1 <= now;
                 if let Some(k) = self.ctx.keepers.get_mut(&from) {
                     k.heard = now;
@@ -526,7 +534,8 @@
             }
             Frame::Counts { epoch, jobs } => {
                 if epoch >= self.epoch && self.leader.is_none() {
-                    self.counts = jobs.into_iter().map(|(job, done, running)| (job, (done, running))).collect();
+                    self.front.learn(&self.ctx, jobs.iter().map(|j| (j.0.as_str(), j.1)));
+                    self.counts = jobs.into_iter().map(|(job, _, done, running)| (job, (done, running))).collect();
                 }
             }
             // Hello belongs to the connection, Relay and Relayed to the clients of the state service.
@@ -546,6 +555,10 @@
             self.ctx.state(StateRequest::Get { key: keys::CATALOG.into() }, Wait::Catalog);
         }
         self.front.turn(&mut self.ctx);
+        let fresh = self.ctx.set.report_ms() / 2;
+        let live = self.peers.values().filter(|p| p.heard > 0 && now.saturating_sub(p.heard) < fresh);
+        self.ctx.live_peers = live.clone().count() as u32;
+        self.ctx.accepting = self.front.waiting() > 0 || live.map(|p| p.waiting).any(|n| n > 0);
         let mut down = None;
         if let Some(l) = &mut self.leader {
             l.turn(&mut self.ctx);
@@ -571,6 +584,7 @@
                     at: now,
                     echo,
                     kept_ms: u32::try_from(kept).unwrap_or(u32::MAX),
+                    waiting: self.front.waiting(),
                 };
                 self.ctx.out.push(Effect::Peer(label, pulse));
             }
@@ -578,7 +592,9 @@
         if self.counts_at <= now {
             self.counts_at = now + self.ctx.set.report_ms() / 3;
             if let Some(l) = &self.leader {
-                let counts = Frame::Counts { epoch: l.epoch, jobs: l.counts() };
+                let jobs = l.counts();
+                self.front.learn(&self.ctx, jobs.iter().map(|j| (j.0.as_str(), j.1)));
+                let counts = Frame::Counts { epoch: l.epoch, jobs };
                 self.tell_peers(counts);
             }
         }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -3,7 +3,7 @@
 
 use crate::sockets::Sockets;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::client::conn::http1::SendRequest;
 use hyper::{Method, Request};
 use hyper_util::rt::TokioIo;
@@ -66,7 +66,11 @@
             })?;
             let status = answer.status().as_u16();
             let body = Limited::new(answer.into_body(), MAX_ANSWER).collect().await;
-            Ok((status, body.map_err(|_| IoError::Unknown)?.to_bytes()))
+            let body = body.map_err(|e| match e.downcast_ref::<LengthLimitError>() {
+                Some(_) => IoError::TooLong,
+                None => IoError::Unknown,
+            })?;
+            Ok((status, body.to_bytes()))
         };
         let answer = tokio::time::timeout(patience, exchange).await.map_err(|_| IoError::Unknown)??;
         if !sender.is_closed() && self.sockets.roomy() {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -49,8 +49,6 @@
 /// A connection that brings nothing for so many reporting intervals is closed: its machine or user
 /// is gone or cut off.
 const IDLE_REPORTS: f64 = 4.0;
-/// Share of the state service's rate that one node's reads for users may take.
-const READ_SHARE: f64 = 0.6;
 
 type Relays = Rc<RefCell<HashMap<u64, oneshot::Sender<(u16, Bytes)>>>>;
 
@@ -64,7 +62,6 @@
     links: HashMap<String, Link>,
     relays: Relays,
     relay_count: u64,
-    reads: Budget,
     cloud_budget: Budget,
     done: mpsc::Sender<Command>,
     asked: HashMap<RequestId, oneshot::Sender<Answer>>,
@@ -105,7 +102,6 @@
         links,
         relays: Relays::default(),
         relay_count: 0,
-        reads: Budget::new(settings.state_rps * READ_SHARE),
         cloud_budget: Budget::new(settings.cloud_rps * 0.9),
         done,
         asked: HashMap::new(),
@@ -182,6 +178,10 @@
                     let (method, path, body) = outside::state_request(&request);
                     let patience = patience + hold(&request);
                     let (status, body) = match state.send(&address, method, &path, body, patience).await {
+                        // What no frame holds is no answer; of a watch it means to read anew.
+                        Ok((_, body)) if body.len() > shaleshunt_peer::MAX_FRAME / 2 => {
+                            (if matches!(request, StateRequest::Watch { .. }) { 410 } else { 0 }, Bytes::new())
+                        }
                         Ok(answer) => answer,
                         Err(IoError::NotSent | IoError::Busy) => (503, Bytes::new()),
                         Err(_) => (0, Bytes::new()),
@@ -254,12 +254,6 @@
     fn ask_state(&mut self, id: RequestId, request: StateRequest, via: Option<String>) {
         let done = self.done.clone();
         let patience = self.patience + hold(&request);
-        if matches!(request, StateRequest::Get { .. }) && !self.reads.take() {
-            tokio::task::spawn_local(async move {
-                let _ = done.send(Command::State(id, Err(IoError::Throttled))).await;
-            });
-            return;
-        }
         let link = via.and_then(|peer| self.links.get(&peer).cloned());
         if let Some(link) = link {
             self.relay_count += 1;
@@ -285,8 +279,11 @@
         tokio::task::spawn_local(async move {
             let (method, path, body) = outside::state_request(&request);
             let answer = state.send(&address, method, &path, body, patience).await;
-            let result: Result<StateReply, IoError> =
-                answer.and_then(|(status, body)| outside::state_reply(&request, status, &body));
+            let result = match answer {
+                // More changes than are taken at once: to be read anew.
+                Err(IoError::TooLong) if matches!(request, StateRequest::Watch { .. }) => Ok(StateReply::TooOld),
+                answer => answer.and_then(|(status, body)| outside::state_reply(&request, status, &body)),
+            };
             let _ = done.send(Command::State(id, result)).await;
         });
     }
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -8,9 +8,10 @@
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
 /// Version of the format.
-pub const VERSION: u8 = 2;
-/// Largest frame taken, in bytes after the length.
-pub const MAX_FRAME: usize = 256 * 1024;
+pub const VERSION: u8 = 3;
+/// Largest frame taken, in bytes after the length: twice what a page of the state service may have,
+/// since such pages are passed on.
+pub const MAX_FRAME: usize = 1024 * 1024;
 
 /// What one controller tells another.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,13 +40,16 @@
         /// Time since the speaker last kept a machine's lease in place of a leader that it did not
         /// hear, or since its process began, in ms.
         kept_ms: u32,
+        /// Acceptances that wait at the speaker for the state service.
+        waiting: u32,
     },
-    /// From the leader: counts of running and done tasks per job, for display only.
+    /// From the leader: counts of running and done tasks per job, for display only, and the version
+    /// of the job's record, by which polls are compared.
     Counts {
         /// The leader's epoch.
         epoch: u64,
-        /// Job, done, running.
-        jobs: Vec<(String, u32, u32)>,
+        /// Job, version of its record, done, running.
+        jobs: Vec<(String, u64, u32, u32)>,
     },
     /// Asks a peer to pass a request to the state service, which refuses the speaker alone.
     Relay {
@@ -145,7 +149,7 @@
                 b.put_u8(1);
                 put_text(&mut b, node);
             }
-            Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms } => {
+            Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms, waiting } => {
                 b.put_u8(2);
                 b.put_u64(*epoch);
                 put_text(&mut b, leader);
@@ -156,13 +160,15 @@
                 b.put_u64(echo.0);
                 b.put_u64(echo.1);
                 b.put_u32(*kept_ms);
+                b.put_u32(*waiting);
             }
             Frame::Counts { epoch, jobs } => {
                 b.put_u8(3);
                 b.put_u64(*epoch);
                 b.put_u32(jobs.len() as u32);
-                for (job, done, running) in jobs {
+                for (job, stamp, done, running) in jobs {
                     put_text(&mut b, job);
+                    b.put_u64(*stamp);
                     b.put_u32(*done);
                     b.put_u32(*running);
                 }
@@ -212,13 +218,14 @@
                 at: r.u64()?,
                 echo: (r.u64()?, r.u64()?),
                 kept_ms: r.u32()?,
+                waiting: r.u32()?,
             },
             3 => {
                 let epoch = r.u64()?;
                 let n = r.u32()? as usize;
                 let mut jobs = Vec::new();
                 for _ in 0..n {
-                    jobs.push((r.text()?, r.u32()?, r.u32()?));
+                    jobs.push((r.text()?, r.u64()?, r.u32()?, r.u32()?));
                 }
                 Frame::Counts { epoch, jobs }
             }
@@ -246,8 +253,9 @@
                 at: 5000,
                 echo: (1_700_000_000_001, 4000),
                 kept_ms: 31,
+                waiting: 5,
             },
-            Frame::Counts { epoch: 7, jobs: vec![("wk-1".into(), 3, 4), ("wk-2".into(), 0, 1)] },
+            Frame::Counts { epoch: 7, jobs: vec![("wk-1".into(), 412, 3, 4), ("wk-2".into(), 9, 0, 1)] },
             Frame::Relay { id: 9, body: Bytes::from_static(b"{}") },
             Frame::Relayed { id: 9, status: 409, body: Bytes::from_static(b"{\"a\":1}") },
         ]
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -23,6 +23,7 @@
     cancel_s: f64,
     write_rps: f64,
     txn_ops: usize,
+    state_rps: f64,
     jitter: u64,
     zones: Vec<String>,
     teams: BTreeMap<String, Team>,
@@ -78,6 +79,7 @@
             cancel_s: 52.0,
             write_rps: 80.0,
             txn_ops: 24,
+            state_rps: 0.0,
             jitter: 0,
             zones: vec!["a".into(), "b".into(), "c".into()],
             teams: BTreeMap::from([("t".to_string(), Team::default())]),
@@ -107,6 +109,7 @@
                 "cancel" => s.cancel_s = w.number()?,
                 "jitter" => s.jitter = w.ms()?,
                 "ops" => s.txn_ops = w.number()?,
+                "requests" => s.state_rps = w.number()?,
                 "writes" => s.write_rps = w.number()?,
                 "team" => {
                     let name = w.next()?.to_string();
@@ -176,7 +179,7 @@
             report_s: self.report_s,
             lease_s: self.lease_s,
             cancel_s: self.cancel_s,
-            state_rps: 200.0,
+            state_rps: if self.state_rps > 0.0 { self.state_rps } else { 200.0 },
             state_write_rps: self.write_rps,
             value_kb: 16.0,
             txn_ops: self.txn_ops,
@@ -191,6 +194,7 @@
         let mut w = World::new((0..self.nodes).map(|i| self.settings(i)).collect(), seed);
         w.cloud.catalog.frames = self.frames.clone();
         w.cloud.lag_ms = 3000;
+        w.state.rps = self.state_rps;
         for (f, z, plain, spot) in &self.capacity {
             w.cloud.capacity.insert((f.clone(), z.clone(), false), *plain);
             w.cloud.capacity.insert((f.clone(), z.clone(), true), *spot);
@@ -279,6 +283,10 @@
             let want = number(n)? as usize;
             check(w.leaders() == want, format!("{} leaders, not {want}", w.leaders()))
         }
+        ["epoch", "at-most", n] => {
+            let most = number(n)? as u64;
+            check(w.epoch() <= most, format!("epoch {}, more than {most}", w.epoch()))
+        }
         ["stored", prefix, n] => {
             let (have, want) = (w.stored(prefix), number(n)? as usize);
             check(have == want, format!("{have} keys under {prefix}, not {want}"))
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -32,6 +32,10 @@
     watches: Vec<Watch>,
     /// Out of order for everybody.
     pub down: bool,
+    /// Requests a second, with bursts of one second's worth; 0 for no limit.
+    pub rps: f64,
+    spent: f64,
+    spent_at: u64,
 }
 
 impl StateService {
@@ -46,6 +50,14 @@
         if self.down {
             return Some(Err(IoError::Refused));
         }
+        if self.rps > 0.0 {
+            let back = now.saturating_sub(self.spent_at) as f64 / 1000.0 * self.rps;
+            (self.spent, self.spent_at) = ((self.spent - back).max(0.0), now);
+            if self.spent + 1.0 > self.rps {
+                return Some(Err(IoError::Throttled));
+            }
+            self.spent += 1.0;
+        }
         Some(match request {
             StateRequest::Get { key } => Ok(match self.keys.get(&key) {
                 Some((v, stamp, pass)) => {
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -855,6 +855,11 @@
         self.nodes.iter().flatten().filter(|n| n.leads()).count()
     }
 
+    /// How often a leader has been elected.
+    pub fn epoch(&self) -> u64 {
+        self.state.dump("l/epoch").iter().filter_map(|(_, v)| v["epoch"].as_u64()).max().unwrap_or(0)
+    }
+
     /// How many keys with a prefix the state service holds.
     pub fn stored(&self, prefix: &str) -> usize {
         self.state.dump(prefix).len()
