--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -261,6 +261,11 @@
             check(when.is_some_and(|at| at <= t), format!("{job} begun at {when:?}, not by {t}"))
         }
         ["half", "served"] => half_served(w),
+        ["all", "served"] => {
+            let open = w.users.values().filter(|u| u.withdraw_at.is_none() && !served(w, &u.spec));
+            let open: Vec<&str> = open.map(|u| u.spec.id.as_str()).collect();
+            check(open.is_empty(), format!("not served: {open:?}"))
+        }
         ["all", "over"] => {
             let open: Vec<&String> = w.users.iter().filter(|(_, u)| u.over_at.is_none()).map(|(j, _)| j).collect();
             check(open.is_empty(), format!("not over: {open:?}"))
@@ -303,13 +308,15 @@
     }
 }
 
+/// Whether a job is done, or runs with all its replicas.
+fn served(w: &World, s: &Submission) -> bool {
+    w.check.is_done(&s.id) || s.shape == Shape::Daemon && w.check.running(&s.id) >= s.pieces as usize
+}
+
 /// At least half of each class, of each team and of each class's largest jobs is served: done, or
 /// for a service all replicas running. Cancelled jobs do not count.
 fn half_served(w: &World) -> Result<(), String> {
-    let served = |s: &Submission| {
-        let runs = s.shape == Shape::Daemon && w.check.running(&s.id) >= s.pieces as usize;
-        w.check.is_done(&s.id) || runs
-    };
+    let served = |s: &Submission| served(w, s);
     let mut groups: BTreeMap<String, Vec<&Submission>> = BTreeMap::new();
     for u in w.users.values().filter(|u| u.withdraw_at.is_none()) {
         groups.entry(format!("class {}", u.spec.jobline)).or_default().push(&u.spec);
@@ -444,6 +451,8 @@
         "late-copies" => Trouble::LateCopies(w.ms()?, w.ms()?),
         "late-txns" => Trouble::LateTxn(w.number()?, w.ms()?),
         "late-orders" => Trouble::LateOrders(w.next()?.into(), w.ms()?, w.ms()?),
+        "hang-many" => Trouble::HangMany(w.number()?, w.ms()?),
+        "freeze" => Trouble::Freeze(w.node()?, w.ms()?),
         "hang" => Trouble::Hang(w.next()?.into(), w.ms()?),
         "sick" => Trouble::Sick(w.next()?.into(), w.ms()?),
         "slow" => Trouble::Slow(w.next()?.into(), w.ms()?, w.number()?),
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -109,6 +109,10 @@
     LateOrders(String, u64, u64),
     /// A machine hangs for a time.
     Hang(String, u64),
+    /// So many machines, the first of them by name, hang for a time.
+    HangMany(usize, u64),
+    /// A node stands still for a time while its clocks run on; what was sent to it waits.
+    Freeze(usize, u64),
     /// A machine fails every task for a time.
     Sick(String, u64),
     /// Tasks that start on a machine for a time take so many times as long.
@@ -143,6 +147,8 @@
             | Trouble::Deaf(_, ms)
             | Trouble::LateTxn(_, ms)
             | Trouble::Hang(_, ms)
+            | Trouble::HangMany(_, ms)
+            | Trouble::Freeze(_, ms)
             | Trouble::Sick(_, ms)
             | Trouble::Slow(_, ms, _)
             | Trouble::Taken(_, ms)
@@ -193,6 +199,9 @@
     state_back: u64,
     cloud_back: u64,
     refused: Vec<u64>,
+    frozen: Vec<u64>,
+    /// What waits for a node that stands still, in order.
+    held: Vec<(usize, Command)>,
     relayed: BTreeSet<(Life, u64)>,
     cuts: Vec<(usize, Side, u64, bool)>,
     zone_cuts: Vec<(String, u64, bool)>,
@@ -242,6 +251,8 @@
             state_back: 0,
             cloud_back: 0,
             refused: vec![0; n],
+            frozen: vec![0; n],
+            held: Vec::new(),
             relayed: BTreeSet::new(),
             cuts: Vec::new(),
             zone_cuts: Vec::new(),
@@ -556,6 +567,19 @@
     }
 
     fn step(&mut self, i: usize, command: Command) {
+        if self.now < self.frozen[i] && self.nodes[i].is_some() {
+            if !matches!(command, Command::Tick) {
+                self.held.push((i, command));
+            }
+            return;
+        }
+        if !self.held.is_empty() {
+            let (mine, rest) = std::mem::take(&mut self.held).into_iter().partition(|(n, _)| *n == i);
+            self.held = rest;
+            for (_, command) in mine {
+                self.step(i, command);
+            }
+        }
         let clock = self.clock(i);
         let Some(node) = self.nodes[i].as_mut() else { return };
         let effects = node.step(clock, vec![command]);
@@ -755,8 +779,8 @@
 
     /// The node meant: a number, or the one that leads now.
     fn meant(&self, node: usize) -> usize {
-        let leads = |n: &Option<Node>| n.as_ref().is_some_and(|n| n.leads());
-        if node == LEADER { self.nodes.iter().position(leads).unwrap_or(0) } else { node }
+        let leads = |i: &usize| self.now >= self.frozen[*i] && self.nodes[*i].as_ref().is_some_and(|n| n.leads());
+        if node == LEADER { (0..self.nodes.len()).find(leads).unwrap_or(0) } else { node }
     }
 
     fn begin(&mut self, t: Trouble) {
@@ -768,6 +792,8 @@
                     let i = self.meant(i);
                     self.nodes[i] = None;
                     self.lives[i] += 1;
+                    self.frozen[i] = 0;
+                    self.held.retain(|(n, _)| *n != i);
                     self.at(now + back, What::Restart(i));
                     // Its connections break.
                     for to in 0..self.nodes.len() {
@@ -810,6 +836,15 @@
                     w.hangs_until = now + ms;
                 }
             }
+            Trouble::HangMany(n, ms) => {
+                for w in self.workers.values_mut().take(n) {
+                    w.hangs_until = now + ms;
+                }
+            }
+            Trouble::Freeze(node, ms) => {
+                let node = self.meant(node);
+                self.frozen[node] = now + ms;
+            }
             Trouble::Sick(m, ms) => {
                 if let Some(w) = self.workers.get_mut(&m) {
                     w.sick_until = now + ms;
