--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -35,7 +35,7 @@
     hires: Vec<String>,
     hires_dropped: Vec<String>,
     orphans: Vec<String>,
-    owned: bool,
+    owned: Vec<(String, u32, Vec<String>)>,
     catalog: bool,
     unanswered: bool,
     asking: bool,
@@ -197,15 +197,17 @@
                 }
             }
         }
-        if self.owned_dirty
-            && let Some(owned) = &self.owned
-            && f.txn.takes(1, 1, owned.len() * 40)
-        {
-            let v = json!(owned);
+        // The first part last: without it the others do not count.
+        while let Some((n, part)) = self.owned_dirty.last_key_value() {
+            let v = json!(part);
             let bytes = v.to_string().len();
-            f.txn.set(keys::OWNED.into(), self.owned_stamp, v, bytes);
-            f.owned = true;
-            self.owned_dirty = false;
+            if !f.takes(1, 1, bytes) {
+                break;
+            }
+            let key = if *n == 0 { keys::OWNED.to_string() } else { format!("{}/{n}", keys::OWNED) };
+            let stamp = self.owned_stamps.get(&key).copied().unwrap_or(0);
+            f.txn.set(key.clone(), stamp, v, bytes);
+            f.owned.extend(self.owned_dirty.pop_last().map(|(n, part)| (key, n, part)));
         }
         if self.catalog_dirty
             && let Some(catalog) = &ctx.catalog
@@ -535,9 +537,7 @@
         for name in f.hires_dropped {
             self.hires.remove(&name);
         }
-        if f.owned {
-            self.owned_stamp = ledger;
-        }
+        self.owned_stamps.extend(f.owned.into_iter().map(|(key, ..)| (key, ledger)));
         if f.catalog {
             self.catalog_stamp = Some(ledger);
         }
@@ -580,7 +580,7 @@
             let stamp = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
             self.orphans.insert(key, stamp);
         }
-        self.owned_dirty |= f.owned;
+        self.owned_dirty.extend(f.owned.into_iter().map(|(_, n, part)| (n, part)));
         self.catalog_dirty |= f.catalog;
     }
 }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -136,8 +136,10 @@
     pub(crate) hires: BTreeMap<String, HireState>,
     pub(crate) hire_count: u64,
     pub(crate) owned: Option<BTreeSet<String>>,
-    pub(crate) owned_stamp: u64,
-    pub(crate) owned_dirty: bool,
+    /// Versions of the keys that hold them, and the parts to be written.
+    pub(crate) owned_stamps: BTreeMap<String, u64>,
+    pub(crate) owned_dirty: BTreeMap<u32, Vec<String>>,
+    owned_parts: BTreeSet<String>,
     pub(crate) catalog_stamp: Option<u64>,
     pub(crate) catalog_dirty: bool,
     pub(crate) teams: BTreeMap<String, Room>,
@@ -213,8 +215,9 @@
             hires: BTreeMap::new(),
             hire_count: 0,
             owned: None,
-            owned_stamp: 0,
-            owned_dirty: false,
+            owned_stamps: BTreeMap::new(),
+            owned_dirty: BTreeMap::new(),
+            owned_parts: BTreeSet::new(),
             catalog_stamp: None,
             catalog_dirty: false,
             teams: BTreeMap::new(),
@@ -276,9 +279,9 @@
                     }
                 }
                 _ => match pair.path.as_str() {
-                    keys::OWNED => {
-                        self.owned = serde_json::from_value(pair.v).ok();
-                        self.owned_stamp = pair.stamp;
+                    path if path.starts_with(keys::OWNED) => {
+                        self.owned_parts.extend(serde_json::from_value::<Vec<String>>(pair.v).unwrap_or_default());
+                        self.owned_stamps.insert(pair.path, pair.stamp);
                     }
                     keys::CATALOG => {
                         self.catalog_stamp = Some(pair.stamp);
@@ -306,6 +309,9 @@
     /// Everything has been read: joins outcomes and placements to jobs and begins to act.
     fn activate(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
+        if self.owned_stamps.contains_key(keys::OWNED) {
+            self.owned = Some(std::mem::take(&mut self.owned_parts));
+        }
         for pair in std::mem::take(&mut self.block_pairs) {
             self.block_read(ctx, pair);
         }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -40,7 +40,8 @@
     pub const HIRES: &str = "h/";
     /// The machine types.
     pub const CATALOG: &str = "c/catalog";
-    /// The machines owned: those that were up when the service first began.
+    /// The machines owned: those that were up when the service first began. More than a value holds
+    /// go on further keys below this one, which are written first: they count only if it is there.
     pub const OWNED: &str = "c/owned";
 }
 
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -141,8 +141,20 @@
                 .map(|m| m.id.clone())
                 .collect();
             ctx.log(Severity::Info, format!("{} machines are owned", owned.len()));
+            let most = ctx.set.value_bytes();
+            let mut parts: Vec<(usize, Vec<String>)> = vec![(0, Vec::new())];
+            for name in &owned {
+                let bytes = name.len() + 3;
+                if parts.last().is_none_or(|(used, _)| used + bytes > most) {
+                    parts.push((0, Vec::new()));
+                }
+                if let Some((used, part)) = parts.last_mut() {
+                    *used += bytes;
+                    part.push(name.clone());
+                }
+            }
+            self.owned_dirty = (0..).zip(parts.into_iter().map(|(_, part)| part)).collect();
             self.owned = Some(owned);
-            self.owned_dirty = true;
         }
         for x in list {
             let id: Id = x.id.as_str().into();
