--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -68,7 +68,9 @@
         m.heard = Some(now);
         m.cut = false;
         match self.zones_heard.get_mut(&m.hall) {
-            Some(z) => z.0 = now,
+            // Later than now while a new leader gives the zone time to be heard: one machine that
+            // answers at once does not end that for the others, who only just change over.
+            Some(z) => z.0 = z.0.max(now),
             None => {
                 self.zones_heard.insert(m.hall.clone(), (now, 1));
             }
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -292,6 +292,10 @@
             let most = number(n)? as u64;
             check(w.epoch() <= most, format!("epoch {}, more than {most}", w.epoch()))
         }
+        ["silent-zones", n] => {
+            let want = number(n)? as u32;
+            check(w.zones_silent == want, format!("{} zones taken for cut off, not {want}", w.zones_silent))
+        }
         ["stored", prefix, n] => {
             let (have, want) = (w.stored(prefix), number(n)? as usize);
             check(have == want, format!("{have} keys under {prefix}, not {want}"))
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -216,6 +216,8 @@
     warned: BTreeMap<String, u64>,
     /// When the last trouble so far is over.
     calm: u64,
+    /// How often a leader took a zone for cut off.
+    pub zones_silent: u32,
     /// Log lines, if wanted.
     pub log: Option<Vec<String>>,
 }
@@ -266,6 +268,7 @@
             broken: BTreeSet::new(),
             warned: BTreeMap::new(),
             calm: 0,
+            zones_silent: 0,
             log: None,
         };
         w.check.limits = w.settings[0].teams.iter().map(|(n, t)| (n.clone(), t.limit.0 as f64 / 1000.0)).collect();
@@ -681,6 +684,7 @@
                 }
             }
             Effect::Log(_, text) => {
+                self.zones_silent += u32::from(text.contains("is silent: nothing new"));
                 if let Some(log) = &mut self.log {
                     log.push(format!("{:.3} n{}: {text}", now as f64 / 1000.0, who.0));
                 }
