--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -1,7 +1,7 @@
 //! Reads and checks the platform's settings and the operators' properties.
 
 use serde::Deserialize;
-use shaleshunt_core::settings::{Aim, Settings, Team, Tuning};
+use shaleshunt_core::settings::{Aim, Limits, Settings, Team, Tuning};
 use shaleshunt_net::Wiring;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -95,6 +95,16 @@
     write_rps: f64,
     value_kb: f64,
     txn_ops: usize,
+    #[serde(default)]
+    next: Option<StateNext>,
+}
+
+/// What is to come; what is not named stays.
+#[derive(Deserialize)]
+struct StateNext {
+    write_rps: Option<f64>,
+    value_kb: Option<f64>,
+    txn_ops: Option<usize>,
 }
 
 #[derive(Deserialize)]
@@ -188,7 +198,14 @@
     }
     check(p.workers.lease_s > p.workers.report_s, "params.workers.lease_s", "must be longer than report_s");
     check(p.workers.cancel_s > p.workers.lease_s, "params.workers.cancel_s", "must be longer than lease_s");
-    check(p.state.txn_ops > 1, "params.state.txn_ops", "must be at least 2");
+    // The leader's ends take three writes; a job's record without long lists takes less than 1 KiB.
+    check(p.state.txn_ops > 2, "params.state.txn_ops", "must be at least 3");
+    check(p.state.value_kb >= 1.0, "params.state.value_kb", "must be at least 1");
+    if let Some(n) = &p.state.next {
+        check(n.write_rps.is_none_or(positive), "params.state.next.write_rps", "must be a positive number");
+        check(n.value_kb.is_none_or(|x| x.is_finite() && x >= 1.0), "params.state.next.value_kb", "must be at least 1");
+        check(n.txn_ops.is_none_or(|n| n > 2), "params.state.next.txn_ops", "must be at least 3");
+    }
     check(
         p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0,
         "params.cloud.list_lag_s",
@@ -230,9 +247,12 @@
         lease_s: p.workers.lease_s,
         cancel_s: p.workers.cancel_s,
         state_rps: p.state.rps,
-        state_write_rps: p.state.write_rps,
-        value_kb: p.state.value_kb,
-        txn_ops: p.state.txn_ops,
+        state_next: p.state.next.as_ref().map(|n| Limits {
+            value_kb: n.value_kb.unwrap_or(p.state.value_kb),
+            txn_ops: n.txn_ops.unwrap_or(p.state.txn_ops),
+            write_rps: n.write_rps.unwrap_or(p.state.write_rps),
+        }),
+        state: Limits { value_kb: p.state.value_kb, txn_ops: p.state.txn_ops, write_rps: p.state.write_rps },
         cloud_rps: p.cloud.rps,
         list_lag_s: p.cloud.list_lag_s,
         mem_mb: p.resources.mem_mb,
--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -39,6 +39,8 @@
     catalog: bool,
     unanswered: bool,
     asking: bool,
+    /// It was called too large: it is not sent again as it is.
+    rejected: bool,
     /// Keys that conflicted, while it is found out whether an earlier copy was carried out.
     conflict: Vec<String>,
 }
@@ -50,12 +52,13 @@
     jobs: BTreeSet<Id>,
     bytes: usize,
     ops: usize,
+    conditions: usize,
 }
 
 impl Default for Txn0 {
     fn default() -> Self {
         let txn = Txn { conditions: Vec::new(), writes: Vec::new() };
-        Txn0 { txn, jobs: BTreeSet::new(), bytes: 0, ops: 0 }
+        Txn0 { txn, jobs: BTreeSet::new(), bytes: 0, ops: 0, conditions: 0 }
     }
 }
 
@@ -66,7 +69,7 @@
     /// Whether `writes` more changes with `conditions` more conditions and this much text fit in.
     fn takes(&self, writes: usize, conditions: usize, bytes: usize) -> bool {
         self.txn.writes.len() + writes <= self.ops
-            && self.txn.conditions.len() + conditions <= self.ops * shaleshunt_wire::CONDITIONS_PER_WRITE
+            && self.txn.conditions.len() + conditions <= self.conditions
             && (self.bytes + bytes <= Self::MOST_BYTES || self.txn.writes.is_empty())
     }
     fn full(&self) -> bool {
@@ -135,7 +138,7 @@
         let now = ctx.now.mono;
         // Users' submissions go first: while some wait, half of the share is left to them.
         let part = if ctx.accepting { 0.5 } else { 1.0 };
-        let rate = ctx.set.state_write_rps * ctx.tune.write_share * part;
+        let rate = ctx.limits.rate() * ctx.tune.write_share * part;
         let gained = now.saturating_sub(self.writes_at) as f64 / 1000.0 * rate;
         self.writes = (self.writes + gained).min(rate.max(1.0));
         self.writes_at = now;
@@ -155,12 +158,12 @@
             }
             return;
         }
-        let ops = ctx.set.txn_ops.min(self.writes as usize);
+        let ops = ctx.limits.ops().min(self.writes as usize);
         if ops == 0 {
             return;
         }
         let mut f = Flight { asking: true, ..Flight::default() };
-        f.txn.ops = ops;
+        (f.txn.ops, f.txn.conditions) = (ops, ctx.limits.conditions());
         f.txn.txn.conditions.push(Condition { path: keys::EPOCH.into(), stamp: self.stamp });
         self.gather(ctx, &mut f, rate);
         if f.txn.txn.writes.is_empty() {
@@ -182,7 +185,7 @@
         let now = ctx.now.mono;
         self.gather_blocks(ctx, f);
         self.gather_hires(f);
-        let due: Vec<(Reverse<_>, u64, Id)> = self.urgent.iter().take(f.txn.ops * 4).cloned().collect();
+        let due: Vec<(Reverse<_>, u64, Id)> = self.urgent.iter().take(f.txn.conditions).cloned().collect();
         let mut refused = 0;
         for key in due {
             if refused >= 4 {
@@ -215,14 +218,21 @@
         {
             let v = json!(catalog);
             let bytes = v.to_string().len();
-            f.txn.set(keys::CATALOG.into(), self.catalog_stamp.unwrap_or(0), v, bytes);
-            f.catalog = true;
+            // One that is too long for a value is asked from the cloud by each node.
+            if bytes <= ctx.limits.value_bytes() {
+                f.txn.set(keys::CATALOG.into(), self.catalog_stamp.unwrap_or(0), v, bytes);
+                f.catalog = true;
+            }
             self.catalog_dirty = false;
         }
         // Outcomes go along with plans, or alone after a while.
         let patience = if f.drafts.is_empty() { ctx.set.report_ms() / 4 } else { 0 };
         while let Some((since, id)) = self.lazy.first().cloned() {
-            if now.saturating_sub(since) < patience || !self.gather_facts(ctx, f, &id) {
+            if now.saturating_sub(since) < patience {
+                break;
+            }
+            // A job's plans go with all else that is to be said of it.
+            if !f.noted.iter().any(|n| n.job == id) && !self.gather_facts(ctx, f, &id) {
                 break;
             }
             self.lazy.pop_first();
@@ -273,7 +283,7 @@
         if m.block.is_some() {
             return;
         }
-        let most = ctx.set.block_looms();
+        let most = ctx.limits.block_looms();
         let fits = |b: &Block| b.hall == m.hall && b.owned == m.owned && b.looms.len() < most;
         let found = self.blocks.iter().rev().find(|(_, b)| fits(b)).map(|(n, _)| *n);
         let n = found.unwrap_or_else(|| self.blocks.last_key_value().map_or(1, |(n, _)| n + 1));
@@ -330,7 +340,7 @@
         // Images change all the time: each block is written anew now and then.
         let lease = (ctx.set.lease_s * 1000.0) as u64;
         if self.dirty_blocks.is_empty()
-            && self.writes >= ctx.set.state_write_rps * ctx.tune.write_share / 2.0
+            && self.writes >= ctx.limits.rate() * ctx.tune.write_share / 2.0
             && let Some((n, _)) = self.blocks.iter().find(|(_, b)| now.saturating_sub(b.wrote) > lease * 2)
         {
             let n = *n;
@@ -353,7 +363,10 @@
                 }
                 continue;
             }
-            let Some((v, bytes, members)) = self.block_record(n, ctx.set.value_bytes()) else { continue };
+            if self.split_block(ctx, n) {
+                continue;
+            }
+            let Some((v, bytes, members)) = self.block_record(n, ctx.limits.value_bytes()) else { continue };
             if !f.txn.takes(1, 1, bytes) {
                 continue;
             }
@@ -366,6 +379,32 @@
         }
     }
 
+    /// A block that holds more machines than fit into a value by now gives the rest to new blocks.
+    /// Whether it has to wait: its own record shrinks only when theirs are stored, so that at any
+    /// moment each machine is in some record.
+    fn split_block(&mut self, ctx: &Ctx, n: u32) -> bool {
+        let most = ctx.limits.block_looms();
+        let Some(b) = self.blocks.get_mut(&n) else { return false };
+        if b.looms.len() <= most {
+            let stored = |n: &u32| self.blocks.get(n).is_none_or(|b| b.stamp > 0) && !self.dirty_blocks.contains(n);
+            return !self.blocks[&n].after.iter().all(stored);
+        }
+        let rest: Vec<Id> = b.looms.iter().skip(most).cloned().collect();
+        b.looms.retain(|id| !rest.contains(id));
+        let mut given = BTreeSet::new();
+        for id in &rest {
+            if let Some(m) = self.looms.get_mut(id) {
+                m.block = None;
+            }
+            self.join_block(ctx, id);
+            given.extend(self.looms.get(id).and_then(|m| m.block));
+        }
+        if let Some(b) = self.blocks.get_mut(&n) {
+            b.after.extend(given);
+        }
+        true
+    }
+
     /// Puts a job's end or its facts into the transaction; whether nothing is left to write at once.
     fn gather_job(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
         let Some(job) = self.jobs.get_mut(id) else { return true };
@@ -386,8 +425,8 @@
         } else {
             f.txn.txn.writes.push(Write::drop_key(path));
         }
-        let rec = FinalRecord { x: job.aborted, n: job.spec.pieces };
-        f.txn.set(format!("{}{id}", keys::FINALS), 0, json!(rec), 30);
+        let rec = FinalRecord { x: job.aborted, n: job.spec.pieces, t: ctx.now.wall };
+        f.txn.set(format!("{}{id}", keys::FINALS), 0, json!(rec), 50);
         if job.cancel_key {
             // Written with the job's record, so of the same revision.
             f.txn.drop_key(format!("{}{id}", keys::CANCELLED), job.stamp);
@@ -401,6 +440,11 @@
         let Some(mut f) = self.flight.take() else { return };
         f.asking = false;
         let pause = ctx.set.report_ms() / 60;
+        match &result {
+            Ok(StateReply::Committed(_)) => ctx.limits.carried_out(),
+            Err(IoError::Throttled) => ctx.write_refused(),
+            _ => {}
+        }
         match result {
             Ok(StateReply::Committed(ledger)) => self.succeeded(ctx, f, ledger),
             Ok(StateReply::Conflict(failed)) => {
@@ -425,9 +469,18 @@
                 self.commit_at = ctx.now.mono + pause;
                 self.flight = Some(f);
             }
-            Err(IoError::Rejected(why)) => {
+            // Too large, as all else is checked here: the limits have fallen. If an earlier copy of it
+            // may have been carried out, that is settled first.
+            Err(IoError::Rejected(why)) if !f.rejected => {
                 ctx.log(Severity::Error, format!("transaction rejected: {why}"));
-                self.down = Some("a transaction was rejected");
+                if !ctx.limits.too_large() {
+                    self.down = Some("a transaction was rejected");
+                } else if f.unanswered {
+                    f.rejected = true;
+                    self.flight = Some(f);
+                } else {
+                    self.failed(ctx, f, &[]);
+                }
             }
             _ => {
                 f.unanswered = true;
@@ -453,7 +506,13 @@
         let before = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
         if stamp == before {
             let conflict = std::mem::take(&mut f.conflict);
-            if conflict.is_empty() {
+            if f.rejected {
+                // What follows is smaller and writes the same keys: only one of the two can be
+                // carried out.
+                if let Some(f) = self.flight.take() {
+                    self.failed(ctx, f, &[]);
+                }
+            } else if conflict.is_empty() {
                 // Not carried out so far: once more. Whichever copy comes first counts.
                 let wait = Wait::Lead(self.epoch, LeadWait::Commit);
                 let txn = f.txn.txn.clone();
@@ -510,7 +569,10 @@
                 let how = if job.aborted { "cancelled" } else { "done" };
                 ctx.log(Severity::Debug, format!("job {id} {how}"));
                 self.forget_facts(&job);
+                self.unlink(&job);
                 self.ranks_old = true;
+                let end = FinalRecord { x: job.aborted, n: 0, t: ctx.now.wall };
+                self.end_known(ctx, &id, &end);
             }
         }
         for (n, members) in f.blocks {
@@ -520,6 +582,7 @@
             }
             if let Some(b) = self.blocks.get_mut(&n) {
                 b.stamp = if members.is_empty() { 0 } else { ledger };
+                b.after.clear();
             }
             for id in members {
                 if let Some(m) = self.looms.get_mut(&id) {
@@ -595,7 +658,7 @@
     #[test]
     fn pages_being_put_together_count_against_the_limit() {
         let mut f = Flight::default();
-        f.txn.ops = 24;
+        (f.txn.ops, f.txn.conditions) = (24, 96);
         assert!(f.takes(1, 2, MAX_BODY * 2), "what is too large for all goes alone");
         f.drafts.push(Draft::default());
         assert!(f.takes(1, 2, Txn0::MOST_BYTES));
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -9,7 +9,7 @@
 use shaleshunt_wire::state::{Condition, Txn, Write};
 use shaleshunt_wire::user::{JobStatus, JobView, Shape, Submission};
 use shaleshunt_wire::{MAX_BODY, Room};
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 
 /// What a front request's answer is for.
 #[derive(Debug)]
@@ -23,16 +23,20 @@
 }
 
 /// A submission on its way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Pending {
     id: RequestId,
     spec: Submission,
     wall: u64,
     since: u64,
+    /// Its place among what came and what was looked for.
+    order: u64,
+    /// A job that it awaits is cancelled: it is accepted as cancelled.
+    doomed: bool,
 }
 
 /// A question about a job.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Asked {
     id: RequestId,
     job: String,
@@ -47,6 +51,36 @@
     /// Would be refused, but an accepted job never is.
     Refuse(&'static str),
     Withdraw,
+    /// Nobody asks: something awaits it. Sent at this place in the order.
+    Look(u64),
+}
+
+/// What is known of an unfinished job.
+#[derive(Debug, Default)]
+struct Known {
+    /// Version of its record.
+    stamp: u64,
+    /// Jobs that it awaits, as far as they were not known to be done.
+    awaits: Vec<String>,
+    /// It was neither cancelled nor finished later than this.
+    open_at: u64,
+}
+
+/// What waits for a look at jobs that are awaited.
+#[derive(Debug)]
+enum Held {
+    Submit(Pending),
+    Ask(Asked, u64),
+}
+
+/// What is known of the jobs that one awaits, directly or through others.
+enum Before {
+    /// Each is done, or was open a short while ago.
+    Clear,
+    /// One is cancelled.
+    Doomed,
+    /// Of these it is not known.
+    Unknown(Vec<String>),
 }
 
 /// Users' side of a node.
@@ -64,8 +98,18 @@
     /// Reads for polls that may be sent now.
     reads: f64,
     reads_at: u64,
-    /// Versions of unfinished jobs' records as last seen.
-    stamps: Remembered<u64>,
+    /// Unfinished jobs as last seen.
+    open: Remembered<Known>,
+    /// What waits for a look at awaited jobs; the jobs looked at or about to be, and those still to
+    /// be read; whether one has been seen since.
+    held: Vec<Held>,
+    looking: HashSet<String>,
+    to_read: VecDeque<String>,
+    looked: bool,
+    look_at: u64,
+    /// Awaited jobs that were never accepted, with the place of the look that showed it.
+    absent: Vec<(String, u64)>,
+    order: u64,
     finals: Remembered<(JobStatus, u32)>,
     /// When to try the direct way to the state service again.
     pub probe_at: u64,
@@ -98,6 +142,8 @@
 }
 
 const COME_BACK: u32 = 1;
+const NEVER_ACCEPTED: &str = "awaits a job that was never accepted";
+const NOT_KNOWN: &str = "jobs that it awaits could not be looked at";
 /// Share of the state service's requests that reads for polls of all nodes take, and that one node's
 /// comparisons take: what is over is told to come back, so that leases and elections find room.
 const READ_SHARE: f64 = 0.5;
@@ -107,6 +153,9 @@
 /// Transactions of acceptances under way at once.
 const FLYING: u32 = 2;
 
+/// Done and running tasks by job, as the leader told.
+type Counts = HashMap<String, (u32, u32)>;
+
 fn unavailable(error: &'static str) -> Answer {
     Answer::Problem { status: 503, error, retry_after: Some(COME_BACK) }
 }
@@ -142,10 +191,129 @@
         } else if let Some(error) = Self::refusal(ctx, &spec) {
             let asked = Asked { id, job: spec.id, why: Why::Refuse(error), tries: 0 };
             self.read(ctx, asked);
-        } else if serde_json::to_string(&spec).map_or(0, |t| t.len()) > ctx.set.value_bytes() {
-            ctx.answer(id, Answer::Problem { status: 400, error: "submission too large", retry_after: None });
+        } else if spec.awaits.contains(&spec.id) {
+            // It was not accepted when its user named it.
+            let asked = Asked { id, job: spec.id, why: Why::Refuse(NEVER_ACCEPTED), tries: 0 };
+            self.read(ctx, asked);
         } else {
-            self.queue.push_back(Pending { id, spec, wall: ctx.now.wall, since: ctx.now.mono });
+            self.order += 1;
+            let (wall, since, order) = (ctx.now.wall, ctx.now.mono, self.order);
+            self.admit(ctx, Pending { id, spec, wall, since, order, doomed: false });
+        }
+    }
+
+    /// Queues a submission, unless something is to be found out about the jobs that it awaits.
+    fn admit(&mut self, ctx: &mut Ctx, mut p: Pending) {
+        match self.before(ctx, &p.spec.awaits) {
+            Before::Unknown(jobs) => {
+                self.look_at_jobs(ctx, jobs);
+                self.held.push(Held::Submit(p));
+                return;
+            }
+            Before::Doomed => p.doomed = true,
+            // What is done by now need not be awaited, nor found out again by each leader.
+            Before::Clear => p.spec.awaits.retain(|a| self.remembered(a).is_none()),
+        }
+        self.queue.push_back(p);
+    }
+
+    /// What is known of these jobs and all that they await. A job must not be called open for long
+    /// after one before it was cancelled, whoever leads and however long nobody did: so each of them
+    /// was seen open a quarter of that time ago at most.
+    fn before(&self, ctx: &Ctx, awaits: &[String]) -> Before {
+        let patience = (ctx.set.cancel_s * 250.0) as u64;
+        let mut seen: HashSet<&str> = HashSet::new();
+        let mut list: Vec<&String> = awaits.iter().collect();
+        let mut unknown = Vec::new();
+        while let Some(job) = list.pop() {
+            if !seen.insert(job) {
+                continue;
+            }
+            match (self.finals.of.get(job), self.open.of.get(job)) {
+                (Some((JobStatus::Done, _)), _) => {}
+                (Some(_), _) => return Before::Doomed,
+                (None, Some(k)) if ctx.now.mono.saturating_sub(k.open_at) < patience && k.open_at > 0 => {
+                    list.extend(&k.awaits);
+                }
+                (None, _) => unknown.push(job.clone()),
+            }
+        }
+        if unknown.is_empty() { Before::Clear } else { Before::Unknown(unknown) }
+    }
+
+    /// Has jobs looked at: compared with others if their records are known, else read.
+    fn look_at_jobs(&mut self, ctx: &Ctx, jobs: Vec<String>) {
+        for job in jobs {
+            if !self.looking.insert(job.clone()) {
+                continue;
+            }
+            if self.open.of.contains_key(&job) {
+                self.order += 1;
+                let asked = Asked { id: 0, job, why: Why::Look(self.order), tries: 0 };
+                self.polls.push_back((ctx.now.mono, asked));
+            } else {
+                self.to_read.push_back(job);
+            }
+        }
+    }
+
+    /// Answers a question; a look is only noted.
+    fn reply(&mut self, ctx: &mut Ctx, asked: &Asked, answer: Answer) {
+        if let Why::Look(_) = asked.why {
+            self.looking.remove(&asked.job);
+            self.looked = true;
+            if let Answer::Problem { status: 503, .. } = answer {
+                self.look_at = ctx.now.mono + ctx.set.report_ms() / 60;
+            }
+            return;
+        }
+        ctx.answer(asked.id, answer);
+    }
+
+    /// Goes on with what waited for looks, and sends looks that are due.
+    fn turn_held(&mut self, ctx: &mut Ctx, counts: &Counts, leader: Option<&Leader>) {
+        if self.held.is_empty() {
+            self.absent.clear();
+            self.looked = false;
+        }
+        let now = ctx.now.mono;
+        let patience = |h: &Held| match h {
+            Held::Submit(p) => (p.since, shaleshunt_wire::SUBMIT_PATIENCE_S * 600.0),
+            Held::Ask(_, since) => (*since, shaleshunt_wire::POLL_PATIENCE_S * 600.0),
+        };
+        let late = |h: &Held| {
+            let (since, ms) = patience(h);
+            now.saturating_sub(since) as f64 > ms
+        };
+        if (std::mem::take(&mut self.looked) && now >= self.look_at) || self.held.iter().any(late) {
+            let absent = std::mem::take(&mut self.absent);
+            for h in std::mem::take(&mut self.held) {
+                let refused =
+                    |p: &Pending| absent.iter().any(|(job, order)| *order > p.order && p.spec.awaits.contains(job));
+                match h {
+                    Held::Submit(p) if refused(&p) => {
+                        let why = Why::Refuse(NEVER_ACCEPTED);
+                        self.read(ctx, Asked { id: p.id, job: p.spec.id, why, tries: 0 });
+                    }
+                    Held::Submit(p) if late(&Held::Submit(p.clone())) => ctx.answer(p.id, unavailable(NOT_KNOWN)),
+                    Held::Submit(p) => self.admit(ctx, p),
+                    Held::Ask(asked, since) if late(&Held::Ask(asked.clone(), since)) => {
+                        ctx.answer(asked.id, unavailable(NOT_KNOWN));
+                    }
+                    Held::Ask(asked, since) => self.open_job(ctx, asked, since, counts, leader),
+                }
+            }
+        } else if now < self.look_at {
+            self.looked = true;
+        }
+        while now >= self.look_at
+            && !self.to_read.is_empty()
+            && self.may_read(ctx)
+            && let Some(job) = self.to_read.pop_front()
+        {
+            self.order += 1;
+            let asked = Asked { id: 0, job, why: Why::Look(self.order), tries: 0 };
+            self.read(ctx, asked);
         }
     }
 
@@ -162,7 +330,13 @@
             ctx.answer(asked.id, Answer::Job(200, view));
         } else if ctx.state_down() {
             ctx.answer(asked.id, unavailable("state service does not answer"));
-        } else if asked.why == Why::Poll && self.stamps.of.contains_key(&asked.job) {
+        } else if asked.why == Why::Poll
+            && let Some(known) = self.open.of.get(&asked.job)
+        {
+            // What it awaits is compared along with it.
+            if let Before::Unknown(jobs) = self.before(ctx, &known.awaits) {
+                self.look_at_jobs(ctx, jobs);
+            }
             self.polls.push_back((ctx.now.mono, asked));
         } else {
             self.read(ctx, asked);
@@ -179,9 +353,12 @@
     pub fn learn<'a>(&mut self, ctx: &Ctx, jobs: impl Iterator<Item = (&'a str, u64)>) {
         let cap = Self::cap(ctx);
         for (job, stamp) in jobs {
-            match self.stamps.of.get_mut(job) {
-                Some(known) => *known = stamp.max(*known),
-                None => self.stamps.insert(job, stamp, cap),
+            match self.open.of.get_mut(job) {
+                Some(known) => {
+                    known.stamp = stamp.max(known.stamp);
+                    known.awaits.clear();
+                }
+                None => self.open.insert(job, Known { stamp, ..Known::default() }, cap),
             }
         }
     }
@@ -189,11 +366,11 @@
     /// Answers polls of jobs whose records are known, many with one transaction that only compares:
     /// as fresh as a read, at a fraction of the requests.
     fn compare(&mut self, ctx: &mut Ctx) {
-        let most = ctx.set.txn_ops.max(1) * shaleshunt_wire::CONDITIONS_PER_WRITE;
+        let most = ctx.limits.conditions().max(1);
         let gap = (1000.0 / (ctx.set.state_rps * COMPARE_SHARE)).min(shaleshunt_wire::POLL_PATIENCE_S * 250.0) as u64;
         if ctx.state_down() {
             for (_, asked) in std::mem::take(&mut self.polls) {
-                ctx.answer(asked.id, unavailable("state service does not answer"));
+                self.reply(ctx, &asked, unavailable("state service does not answer"));
             }
         }
         while self.comparing < COMPARING
@@ -205,7 +382,7 @@
             while txn.conditions.len() < most
                 && let Some((_, asked)) = self.polls.pop_front()
             {
-                let Some(stamp) = self.stamps.of.get(&asked.job).copied() else {
+                let Some(stamp) = self.open.of.get(&asked.job).map(|k| k.stamp) else {
                     self.read(ctx, asked);
                     continue;
                 };
@@ -222,29 +399,49 @@
         }
     }
 
-    /// A job is as its record says: neither finished nor cancelled.
-    fn open_job(ctx: &mut Ctx, asked: Asked, counts: &HashMap<String, (u32, u32)>, leader: Option<&Leader>) {
+    /// A job is as its record says: neither finished nor cancelled. If it awaits others, it is called
+    /// so only when none of them is known to be cancelled.
+    fn open_job(&mut self, ctx: &mut Ctx, asked: Asked, since: u64, counts: &Counts, leader: Option<&Leader>) {
+        if let Some(known) = self.open.of.get(&asked.job)
+            && !matches!(asked.why, Why::Look(_))
+        {
+            match self.before(ctx, &known.awaits) {
+                Before::Clear => {}
+                Before::Doomed => {
+                    ctx.answer(asked.id, unavailable("about to be cancelled"));
+                    return;
+                }
+                Before::Unknown(jobs) => {
+                    self.look_at_jobs(ctx, jobs);
+                    self.held.push(Held::Ask(asked, since));
+                    return;
+                }
+            }
+        }
         let (done, running) = match leader {
             Some(l) => l.count(&asked.job),
             None => counts.get(&asked.job).copied().unwrap_or((0, 0)),
         };
         let status = if running > 0 { JobStatus::Running } else { JobStatus::Queued };
-        let view = JobView { id: asked.job, status, done: Some(done), running: Some(running) };
-        ctx.answer(asked.id, Answer::Job(200, view));
+        let view = JobView { id: asked.job.clone(), status, done: Some(done), running: Some(running) };
+        self.reply(ctx, &asked, Answer::Job(200, view));
+    }
+
+    /// Whether a read that is limited may be sent now; it is counted then. Nodes that are heard share.
+    fn may_read(&mut self, ctx: &Ctx) -> bool {
+        let rate = ctx.set.state_rps * READ_SHARE / f64::from(1 + ctx.live_peers);
+        let gained = ctx.now.mono.saturating_sub(self.reads_at) as f64 / 1000.0 * rate;
+        self.reads = (self.reads + gained).min(rate.max(1.0));
+        self.reads_at = ctx.now.mono;
+        let may = self.reads >= 1.0;
+        self.reads -= if may { 1.0 } else { 0.0 };
+        may
     }
 
     fn read(&mut self, ctx: &mut Ctx, asked: Asked) {
-        if asked.why == Why::Poll {
-            // Nodes that are heard share it.
-            let rate = ctx.set.state_rps * READ_SHARE / f64::from(1 + ctx.live_peers);
-            let gained = ctx.now.mono.saturating_sub(self.reads_at) as f64 / 1000.0 * rate;
-            self.reads = (self.reads + gained).min(rate.max(1.0));
-            self.reads_at = ctx.now.mono;
-            if self.reads < 1.0 {
-                ctx.answer(asked.id, unavailable("too many at once"));
-                return;
-            }
-            self.reads -= 1.0;
+        if asked.why == Why::Poll && !self.may_read(ctx) {
+            ctx.answer(asked.id, unavailable("too many at once"));
+            return;
         }
         let key = format!("{}{}", keys::JOBS, asked.job);
         ctx.state(StateRequest::Get { key }, Wait::Front(FrontWait::Job(asked)));
@@ -264,7 +461,8 @@
     }
 
     /// Sends waiting acceptances, many in one transaction.
-    pub fn turn(&mut self, ctx: &mut Ctx) {
+    pub fn turn(&mut self, ctx: &mut Ctx, counts: &Counts, leader: Option<&Leader>) {
+        self.turn_held(ctx, counts, leader);
         self.compare(ctx);
         let patience = (shaleshunt_wire::SUBMIT_PATIENCE_S * 1000.0 * 0.6) as u64;
         while self.queue.front().is_some_and(|p| ctx.now.mono.saturating_sub(p.since) > patience) {
@@ -284,17 +482,22 @@
                     self.read(ctx, asked);
                     continue;
                 }
-                let v = json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false, k: false });
+                let v = if p.doomed {
+                    json!(FinalRecord { x: true, n: p.spec.pieces, t: p.wall })
+                } else {
+                    json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false, k: false })
+                };
                 bytes += v.to_string().len() + key.len() * 3 + 64;
                 if bytes > MAX_BODY * 7 / 8 && !batch.is_empty() {
                     self.queue.push_front(p);
                     break;
                 }
+                let end = format!("{}{}", keys::FINALS, p.spec.id);
                 txn.conditions.push(Condition { path: key.clone(), stamp: 0 });
-                txn.conditions.push(Condition { path: format!("{}{}", keys::FINALS, p.spec.id), stamp: 0 });
-                txn.writes.push(Write::set(key, v));
+                txn.conditions.push(Condition { path: end.clone(), stamp: 0 });
+                txn.writes.push(Write::set(if p.doomed { end } else { key }, v));
                 batch.push(p);
-                if batch.len() >= self.most.clamp(1, ctx.set.txn_ops.max(1)) {
+                if batch.len() >= self.most.clamp(1, ctx.limits.ops().max(1)) {
                     break;
                 }
             }
@@ -309,8 +512,9 @@
         &mut self,
         ctx: &mut Ctx,
         wait: FrontWait,
+        sent: u64,
         result: Result<StateReply, IoError>,
-        counts: &HashMap<String, (u32, u32)>,
+        counts: &Counts,
         leader: Option<&Leader>,
     ) {
         match wait {
@@ -322,22 +526,27 @@
             }
             FrontWait::Accept(batch) => {
                 self.flying -= 1;
-                self.accepted(ctx, batch, result);
+                self.accepted(ctx, batch, sent, result);
             }
             FrontWait::Compare(batch) => {
                 self.comparing -= 1;
                 match result {
                     Ok(StateReply::Committed(_)) => {
+                        for asked in &batch {
+                            if let Some(known) = self.open.of.get_mut(&asked.job) {
+                                known.open_at = known.open_at.max(sent);
+                            }
+                        }
                         for asked in batch {
-                            Self::open_job(ctx, asked, counts, leader);
+                            self.open_job(ctx, asked, sent, counts, leader);
                         }
                     }
                     // What changed is read; of the others nothing is said.
                     Ok(StateReply::Conflict(failed)) => {
                         for f in &failed {
-                            self.stamps.of.remove(f.get(keys::JOBS.len()..).unwrap_or_default());
+                            self.open.of.remove(f.get(keys::JOBS.len()..).unwrap_or_default());
                         }
-                        let known = |a: &Asked| self.stamps.of.contains_key(&a.job);
+                        let known = |a: &Asked| self.open.of.contains_key(&a.job);
                         let (same, changed): (Vec<_>, Vec<_>) = batch.into_iter().partition(known);
                         let (again, read) = if changed.is_empty() { (changed, same) } else { (same, changed) };
                         for asked in read {
@@ -347,9 +556,12 @@
                             self.polls.push_front((0, asked));
                         }
                     }
-                    _ => {
+                    other => {
+                        if let Err(IoError::Rejected(_)) = other {
+                            ctx.limits.too_large();
+                        }
                         for asked in batch {
-                            ctx.answer(asked.id, unavailable("state service does not answer"));
+                            self.reply(ctx, &asked, unavailable("state service does not answer"));
                         }
                     }
                 }
@@ -357,13 +569,13 @@
             FrontWait::Job(asked) => match result {
                 Ok(StateReply::Found(pair)) => {
                     let Ok(rec) = serde_json::from_value::<JobRecord>(pair.v) else {
-                        ctx.answer(asked.id, unavailable("record not understood"));
+                        self.reply(ctx, &asked, unavailable("record not understood"));
                         return;
                     };
                     if rec.x {
                         self.remember(ctx, &asked.job, JobStatus::Aborted, rec.s.pieces);
                         let view = final_view(&asked.job, JobStatus::Aborted, rec.s.pieces);
-                        ctx.answer(asked.id, Answer::Job(200, view));
+                        self.reply(ctx, &asked, Answer::Job(200, view));
                     } else if asked.why == Why::Withdraw {
                         let key = format!("{}{}", keys::JOBS, asked.job);
                         let cancel = format!("{}{}", keys::CANCELLED, asked.job);
@@ -372,15 +584,13 @@
                                 Condition { path: key.clone(), stamp: pair.stamp },
                                 Condition { path: cancel.clone(), stamp: 0 },
                             ],
-                            writes: vec![
-                                Write::set(key, json!(JobRecord { x: true, k: true, ..rec })),
-                                Write::set(cancel, json!(true)),
-                            ],
+                            writes: vec![Write::set(key, json!(rec.into_cancelled())), Write::set(cancel, json!(true))],
                         };
                         ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Withdraw(asked)));
                     } else {
-                        self.stamps.insert(&asked.job, pair.stamp, Self::cap(ctx));
-                        Self::open_job(ctx, asked, counts, leader);
+                        let known = Known { stamp: pair.stamp, awaits: rec.s.awaits, open_at: sent };
+                        self.open.insert(&asked.job, known, Self::cap(ctx));
+                        self.open_job(ctx, asked, sent, counts, leader);
                     }
                 }
                 // Not among the unfinished at this moment: either finished before, and then its
@@ -389,16 +599,17 @@
                     let key = format!("{}{}", keys::FINALS, asked.job);
                     ctx.state(StateRequest::Get { key }, Wait::Front(FrontWait::Final(asked)));
                 }
-                _ => ctx.answer(asked.id, unavailable("state service does not answer")),
+                _ => self.reply(ctx, &asked, unavailable("state service does not answer")),
             },
             FrontWait::Final(mut asked) => match result {
                 Ok(StateReply::Found(pair)) => match serde_json::from_value::<FinalRecord>(pair.v) {
                     Ok(rec) => {
                         let status = if rec.x { JobStatus::Aborted } else { JobStatus::Done };
                         self.remember(ctx, &asked.job, status, rec.n);
-                        ctx.answer(asked.id, Answer::Job(200, final_view(&asked.job, status, rec.n)));
+                        let view = final_view(&asked.job, status, rec.n);
+                        self.reply(ctx, &asked, Answer::Job(200, view));
                     }
-                    Err(_) => ctx.answer(asked.id, unavailable("record not understood")),
+                    Err(_) => self.reply(ctx, &asked, unavailable("record not understood")),
                 },
                 Ok(StateReply::Missing) => match asked.why {
                     Why::Refuse(error) => {
@@ -411,11 +622,16 @@
                         self.read(ctx, asked);
                     }
                     Why::Resubmit => ctx.answer(asked.id, unavailable("try again")),
+                    Why::Look(order) => {
+                        self.absent.push((asked.job.clone(), order));
+                        self.looking.remove(&asked.job);
+                        self.looked = true;
+                    }
                     Why::Poll | Why::Withdraw => {
                         ctx.answer(asked.id, Answer::Problem { status: 404, error: "no such job", retry_after: None });
                     }
                 },
-                _ => ctx.answer(asked.id, unavailable("state service does not answer")),
+                _ => self.reply(ctx, &asked, unavailable("state service does not answer")),
             },
             FrontWait::Withdraw(mut asked) => match result {
                 Ok(StateReply::Committed(_)) => {
@@ -432,14 +648,21 @@
         }
     }
 
-    fn accepted(&mut self, ctx: &mut Ctx, batch: Vec<Pending>, result: Result<StateReply, IoError>) {
+    fn accepted(&mut self, ctx: &mut Ctx, batch: Vec<Pending>, sent: u64, result: Result<StateReply, IoError>) {
         match result {
             Ok(StateReply::Committed(ledger)) => {
-                self.most = (self.most * 2).clamp(2, ctx.set.txn_ops.max(2));
+                ctx.limits.carried_out();
+                self.most = (self.most * 2).clamp(2, ctx.limits.ops().max(2));
                 for p in batch {
-                    self.stamps.insert(&p.spec.id, ledger, Self::cap(ctx));
                     ctx.log(Severity::Debug, format!("job {} accepted", p.spec.id));
-                    let view = JobView { id: p.spec.id, status: JobStatus::Queued, done: None, running: None };
+                    let view = if p.doomed {
+                        self.remember(ctx, &p.spec.id, JobStatus::Aborted, p.spec.pieces);
+                        final_view(&p.spec.id, JobStatus::Aborted, p.spec.pieces)
+                    } else {
+                        let known = Known { stamp: ledger, awaits: p.spec.awaits, open_at: sent };
+                        self.open.insert(&p.spec.id, known, Self::cap(ctx));
+                        JobView { id: p.spec.id, status: JobStatus::Queued, done: None, running: None }
+                    };
                     ctx.answer(p.id, Answer::Job(201, view));
                 }
             }
@@ -456,12 +679,20 @@
             }
             // Not carried out: again soon, within the user's patience.
             Err(IoError::Throttled) => {
+                ctx.write_refused();
                 self.retry_at = ctx.now.mono + ctx.set.report_ms() / 60;
                 self.most = batch.len() / 2;
                 for p in batch.into_iter().rev() {
                     self.queue.push_front(p);
                 }
             }
+            // Too large by now: again in smaller pieces.
+            Err(IoError::Rejected(_)) if ctx.limits.too_large() => {
+                self.most = batch.len() / 2;
+                for p in batch.into_iter().rev() {
+                    self.queue.push_front(p);
+                }
+            }
             // It may have been carried out or may be later. The user comes back and is told then:
             // the repeated submission meets the key if it is there.
             _ => {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -1,6 +1,7 @@
 //! What the leader knows, how it reads it all after it has taken the epoch, and how it learns of
 //! users' changes.
 
+use crate::awaits::Stages;
 use crate::commit::Flight;
 use crate::io::*;
 use crate::model::*;
@@ -31,6 +32,7 @@
     Settle,
     Settled(u64),
     Refresh(Id),
+    End(Id),
     Orders(Id),
     Hire(String),
     Return(Vec<Id>),
@@ -92,6 +94,8 @@
     pub(crate) jobs: BTreeMap<Id, Job>,
     pub(crate) looms: BTreeMap<Id, Loom>,
     pub(crate) pages: Pages,
+    /// Who awaits whom.
+    pub(crate) stages: Stages,
     /// Facts touched so far.
     pub(crate) touches: u64,
     /// Blocks of machines by number, and those to be written.
@@ -185,6 +189,7 @@
             jobs: BTreeMap::new(),
             looms: BTreeMap::new(),
             pages: Pages::default(),
+            stages: Stages::default(),
             touches: 0,
             blocks: BTreeMap::new(),
             dirty_blocks: BTreeSet::new(),
@@ -235,7 +240,7 @@
             arrivals: Vec::new(),
             commit_at: now,
         };
-        l.writes = ctx.set.state_write_rps * ctx.tune.write_share;
+        l.writes = ctx.limits.rate() * ctx.tune.write_share;
         for prefix in [keys::JOBS, keys::PAGES, keys::BLOCKS, keys::HIRES, "c/", keys::OLD_DONE, keys::OLD_LOOMS] {
             l.load(ctx, prefix, String::new());
         }
@@ -325,6 +330,7 @@
             if self.jobs.get(id).is_some_and(|j| j.aborted) {
                 self.stop_job(ctx, id);
             }
+            self.link(ctx, id);
             self.queue_write(now, id);
         }
         // A zone may be cut off already: its machines have two reporting intervals to be heard.
@@ -406,7 +412,7 @@
     fn read_earlier_form(&mut self, ctx: &Ctx) {
         let now = ctx.now.mono;
         // Outcomes of 0.1 came in chunks of a third of a value's limit, six bits a character.
-        let per_chunk = ((ctx.set.value_kb * 1024.0 * 2.0) as u32 / 64 * 64).max(64);
+        let per_chunk = ((ctx.set.state.value_kb * 1024.0 * 2.0) as u32 / 64 * 64).max(64);
         let mut touched: Vec<(Id, u32)> = Vec::new();
         for pair in std::mem::take(&mut self.old_done) {
             let mut parts = pair.path[keys::OLD_DONE.len()..].rsplitn(2, '/');
@@ -501,23 +507,41 @@
                 if rec.x && !job.aborted {
                     job.aborted = true;
                     self.stop_job(ctx, &id);
+                    self.cancelled(ctx, &id);
                 }
                 self.queue_write(ctx.now.mono, &id);
             }
             None => {
-                if self.active && !rec.x && self.arrivals.len() < ARRIVALS {
-                    self.arrivals.push((ctx.now.mono, Job::new(rec.clone(), stamp)));
-                }
                 let mut job = Job::new(rec, stamp);
                 job.image = self.image(&job.spec.bundle);
-                let id = job.id.clone();
+                let (id, aborted, awaits) = (job.id.clone(), job.aborted, job.awaits());
                 self.jobs.insert(id.clone(), job);
                 self.ranks_old = true;
+                if self.active {
+                    self.link(ctx, &id);
+                    if aborted {
+                        self.cancelled(ctx, &id);
+                    } else if !awaits {
+                        self.arrived(ctx.now.mono, &id);
+                    }
+                }
                 self.queue_write(ctx.now.mono, &id);
             }
         }
     }
 
+    /// A job that may run has come: as much may come again.
+    pub(crate) fn arrived(&mut self, now: u64, id: &Id) {
+        if self.arrivals.len() < ARRIVALS
+            && let Some(j) = self.jobs.get(id)
+        {
+            let rec = JobRecord { s: j.spec.clone(), at: j.at, x: false, k: false };
+            let mut ghost = Job::new(rec, j.stamp);
+            ghost.needs.clear();
+            self.arrivals.push((now, ghost));
+        }
+    }
+
     /// A job's record is no longer there.
     fn job_gone(&mut self, ctx: &mut Ctx, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
@@ -526,7 +550,9 @@
             self.stop_job(ctx, &id);
             if let Some(job) = self.jobs.remove(&id) {
                 self.forget_facts(&job);
+                self.unlink(&job);
             }
+            self.vanished(ctx.now.mono, &id);
             self.ranks_old = true;
             self.replan = true;
         }
@@ -577,6 +603,7 @@
             (LeadWait::Refresh(_), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
             (LeadWait::Refresh(id), Ok(StateReply::Missing)) => self.job_gone(ctx, &id),
             (LeadWait::Refresh(id), _) => self.refresh(ctx, id),
+            (LeadWait::End(id), result) => self.end_read(ctx, id, result),
             (LeadWait::Commit, result) => self.committed(ctx, result),
             (LeadWait::Settle, result) => self.settle(ctx, result),
             (LeadWait::Settled(stamp), result) => self.settled(ctx, stamp, result),
@@ -621,6 +648,7 @@
             self.told_at = now + ctx.set.report_ms();
             self.tell_state(ctx);
         }
+        self.ask_ends(ctx);
         self.rounds(ctx);
         if self.replan && now >= self.plan_at {
             self.replan = false;
@@ -816,13 +844,14 @@
         self.jobs.get(job).map_or((0, 0), |j| (j.done_count, j.running))
     }
 
-    /// Counts of all jobs and their records' versions, for the other nodes.
+    /// Counts of all jobs that await nothing and their records' versions, for the other nodes: who
+    /// has a version from here need not look for cancelled jobs before this one.
     pub(crate) fn counts(&self) -> Vec<(String, u64, u32, u32)> {
         // A job takes some 30 bytes of a frame. Of many more than a frame may hold, the rest is
         // shown by the leader alone and read at each poll.
         self.jobs
             .values()
-            .filter(|j| !j.aborted)
+            .filter(|j| !j.aborted && !j.awaits())
             .map(|j| (j.id.to_string(), j.stamp, j.done_count, j.running))
             .take(shaleshunt_peer::MAX_FRAME / 256)
             .collect()
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! - [`node::Node`] is what a process runs: users' requests, leadership and, while it leads, the
 //!   scheduler.
+//! - `awaits` lets jobs wait for others; `limits` follows what the state service grants.
 //! - `leader` keeps what only the leader knows; `commit` writes it to the state service, the facts
 //!   about tasks on `pages`; `floor` talks to workers; `place` chooses machines; `rent` talks to the cloud.
 
@@ -11,10 +12,12 @@
 pub mod node;
 pub mod settings;
 
+mod awaits;
 mod commit;
 mod floor;
 mod front;
 mod leader;
+mod limits;
 mod pages;
 mod place;
 mod rent;
--- /dev/null
+++ b/crates/core/src/limits.rs
@@ -0,0 +1,145 @@
+//! What the state service grants: how large a value and a transaction may be, and how many changes a
+//! second it takes. Sizes are the smaller of today's and of those that will come, so the moment at
+//! which they change does not matter. The rate is today's for as long as it is granted: refusals show
+//! its fall. Limits that fall without notice show as rejected requests and as refusals too.
+
+use crate::settings::{Limits, Settings};
+
+/// A value never shrinks below this, in KiB: a job's record takes about half of it.
+const LEAST_VALUE_KB: f64 = 1.0;
+/// A transaction never shrinks below this: an end takes three changes.
+const LEAST_OPS: usize = 3;
+/// So many refusals more than grants show that the rate has fallen.
+const REFUSALS: u32 = 4;
+/// What a rate that nobody announced falls to, and rises by in a reporting interval.
+const FALL: f64 = 0.9;
+const RISE: f64 = 1.02;
+/// It never falls below this share.
+const LEAST_RATE: f64 = 0.5;
+
+/// Limits in force, as far as this process knows.
+#[derive(Debug, Clone)]
+pub(crate) struct Granted {
+    now: Limits,
+    /// Half of a value as it is today: a page is written again and again until it is full.
+    half_value: usize,
+    next_rate: Option<f64>,
+    /// The rate that is strived for.
+    ceiling: f64,
+    refusals: u32,
+    risen_at: u64,
+}
+
+impl Granted {
+    pub fn new(set: &Settings) -> Granted {
+        let (today, next) = (&set.state, set.state_next.as_ref());
+        let now = Limits {
+            value_kb: next.map_or(today.value_kb, |n| n.value_kb.min(today.value_kb)),
+            txn_ops: next.map_or(today.txn_ops, |n| n.txn_ops.min(today.txn_ops)),
+            write_rps: today.write_rps,
+        };
+        Granted {
+            half_value: today.value_bytes() / 2,
+            next_rate: next.map(|n| n.write_rps).filter(|r| *r < today.write_rps),
+            ceiling: now.write_rps,
+            refusals: 0,
+            risen_at: 0,
+            now,
+        }
+    }
+    /// Writes per transaction.
+    pub fn ops(&self) -> usize {
+        self.now.txn_ops
+    }
+    /// Conditions per transaction.
+    pub fn conditions(&self) -> usize {
+        self.now.txn_ops * shaleshunt_wire::CONDITIONS_PER_WRITE
+    }
+    /// Writes a second.
+    pub fn rate(&self) -> f64 {
+        self.now.write_rps
+    }
+    /// Bytes that one value may have, with room for its frame.
+    pub fn value_bytes(&self) -> usize {
+        self.now.value_bytes()
+    }
+    /// Bytes of a page of facts: half of a value as it is today, so that writing the newest one again
+    /// stays cheap, or all of a smaller one.
+    pub fn page_bytes(&self) -> usize {
+        self.half_value.min(self.value_bytes())
+    }
+    /// Machines that are kept in one key: with images they take some 200 bytes each, and large values
+    /// hold fewer than would fit, since a change writes them all.
+    pub fn block_looms(&self) -> usize {
+        (self.value_bytes() / 200).clamp(1, (self.half_value / 180).max(9))
+    }
+    /// A request was called too large: what follows is smaller. False if it cannot be.
+    pub fn too_large(&mut self) -> bool {
+        let least = self.now.txn_ops <= LEAST_OPS && self.now.value_kb <= LEAST_VALUE_KB;
+        self.now.txn_ops = (self.now.txn_ops / 2).max(LEAST_OPS.min(self.now.txn_ops));
+        self.now.value_kb = (self.now.value_kb / 2.0).max(LEAST_VALUE_KB.min(self.now.value_kb));
+        !least
+    }
+    /// Changes were carried out.
+    pub fn carried_out(&mut self) {
+        self.refusals = self.refusals.saturating_sub(1);
+    }
+    /// Changes were refused as too many. True if the rate is taken to have fallen.
+    pub fn refused(&mut self) -> bool {
+        self.refusals += 1;
+        if self.refusals < REFUSALS {
+            return false;
+        }
+        self.refusals = 0;
+        match self.next_rate.take() {
+            Some(rate) => (self.ceiling, self.now.write_rps) = (rate, rate),
+            None => self.now.write_rps = (self.now.write_rps * FALL).max(self.ceiling * LEAST_RATE),
+        }
+        true
+    }
+    /// Time passes: a rate that fell without notice is tried again, little by little.
+    pub fn turn(&mut self, now: u64, report_ms: u64) {
+        if now.saturating_sub(self.risen_at) >= report_ms {
+            self.risen_at = now;
+            self.now.write_rps = (self.now.write_rps * RISE).min(self.ceiling);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn granted(next: Option<Limits>) -> Granted {
+        let today = Limits { value_kb: 16.0, txn_ops: 24, write_rps: 30.0 };
+        Granted::new(&Settings { state: today, state_next: next, ..Settings::default() })
+    }
+
+    #[test]
+    fn sizes_fit_both_limits_from_the_first_write_and_the_rate_falls_once() {
+        let mut g = granted(Some(Limits { value_kb: 2.0, txn_ops: 8, write_rps: 21.0 }));
+        assert_eq!((g.ops(), g.conditions(), g.page_bytes()), (8, 32, g.value_bytes()));
+        assert!(g.value_bytes() < 2048 && g.block_looms() * 200 <= g.value_bytes());
+        assert_eq!(g.rate(), 30.0);
+        assert!((0..3).all(|_| !g.refused()) && g.refused());
+        assert_eq!(g.rate(), 21.0);
+        g.turn(1_000_000, 3000);
+        assert_eq!(g.rate(), 21.0, "it stays");
+        // Larger ones that will come are of no use yet.
+        let g = granted(Some(Limits { value_kb: 64.0, txn_ops: 100, write_rps: 99.0 }));
+        assert_eq!((g.ops(), g.rate(), g.next_rate), (24, 30.0, None));
+    }
+
+    #[test]
+    fn limits_that_fall_without_notice_are_followed_and_never_to_nothing() {
+        let mut g = granted(None);
+        let before = g.value_bytes();
+        assert!(g.too_large() && g.ops() == 12 && g.value_bytes() <= before / 2);
+        assert!((0..10).any(|_| !g.too_large()), "there is an end to it");
+        assert!(g.ops() >= 3 && g.value_bytes() > 900);
+        (0..100).for_each(|_| assert!(g.refused() || g.rate() >= 15.0));
+        assert_eq!(g.rate(), 15.0);
+        (1..200).for_each(|n| g.turn(n * 3000, 3000));
+        assert_eq!(g.rate(), 30.0);
+    }
+}
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -3,7 +3,7 @@
 use crate::settings::Settings;
 use serde::{Deserialize, Serialize};
 use shaleshunt_wire::Room;
-use shaleshunt_wire::user::{Shape, Submission};
+use shaleshunt_wire::user::{Shape, Submission, Urgency};
 use shaleshunt_wire::worker::Cause;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -60,6 +60,18 @@
     pub k: bool,
 }
 
+impl JobRecord {
+    /// The record when its user cancels it. What only matters before its tasks start goes: the
+    /// record may be longer than what may be written by now.
+    pub fn into_cancelled(mut self) -> JobRecord {
+        self.s.awaits.clear();
+        self.s.frames = None;
+        self.s.hall = None;
+        self.s.bundle.clear();
+        JobRecord { x: true, k: true, ..self }
+    }
+}
+
 /// Record of a finished job.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct FinalRecord {
@@ -67,6 +79,9 @@
     pub x: bool,
     /// Number of its tasks.
     pub n: u32,
+    /// When it ended, time of day; versions before 0.3 wrote none.
+    #[serde(default)]
+    pub t: u64,
 }
 
 /// A machine in a block's record.
@@ -292,6 +307,16 @@
     pub not_before: u64,
     /// Sent to rented machines.
     pub sent_out: bool,
+    /// Jobs that it awaits and of which no committed outcome is known to be done. While there is
+    /// one, nothing of it may be placed.
+    pub needs: BTreeSet<Id>,
+    /// When the last job that it awaited was done, or else when it was accepted: all times but the
+    /// deadline count from here.
+    pub ready_at: u64,
+    /// When it has to be done for the sake of jobs that await it.
+    pub wanted_by: Option<u64>,
+    /// Its priority, or that of a job that awaits it if that is higher.
+    pub urgency: Urgency,
 }
 
 impl Job {
@@ -323,6 +348,10 @@
             failures: 0,
             not_before: 0,
             sent_out: false,
+            needs: rec.s.awaits.iter().map(|id| Id::from(id.as_str())).collect(),
+            ready_at: rec.at,
+            wanted_by: None,
+            urgency: rec.s.urgency,
             spec: rec.s,
         }
     }
@@ -338,8 +367,15 @@
     pub fn next_free(&self, from: u32) -> Option<u32> {
         (from.max(self.cursor)..self.spec.pieces).find(|&i| !self.done.get(i) && !self.live.contains_key(&i))
     }
-    /// Tasks neither done nor placed.
+    /// Whether it awaits other jobs.
+    pub fn awaits(&self) -> bool {
+        !self.needs.is_empty()
+    }
+    /// Tasks neither done nor placed that may be placed.
     pub fn waiting(&self) -> u32 {
+        if self.awaits() {
+            return 0;
+        }
         self.spec.pieces.saturating_sub(self.done_count + self.placed)
     }
     /// Whether all tasks are done.
@@ -350,9 +386,10 @@
     pub fn zone_cap(&self) -> u32 {
         if self.spec.scatter { self.spec.pieces.div_ceil(2) } else { u32::MAX }
     }
-    /// Deadline as time of day.
+    /// Deadline as time of day: its own, or what the jobs that await it leave.
     pub fn due(&self) -> Option<u64> {
-        self.spec.due_s.map(|d| self.at + (d * 1000.0) as u64)
+        let own = self.spec.due_s.map(|d| self.at + (d * 1000.0) as u64);
+        own.into_iter().chain(self.wanted_by).min()
     }
     /// Notes that a task is done; false if that was known. Its placement has been released.
     pub fn mark_done(&mut self, piece: u32) -> bool {
@@ -386,6 +423,8 @@
     pub dirty: bool,
     /// When it was last written: images are noted now and then.
     pub wrote: u64,
+    /// Blocks that took over some of its machines: they are stored first.
+    pub after: BTreeSet<u32>,
 }
 
 /// A machine.
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -3,6 +3,7 @@
 use crate::front::{Front, FrontWait};
 use crate::io::*;
 use crate::leader::{LeadWait, Leader};
+use crate::limits::Granted;
 use crate::model::keys;
 use crate::settings::{Settings, Tuning};
 use serde_json::{Value, json};
@@ -42,6 +43,7 @@
     pub now: Now,
     pub set: Arc<Settings>,
     pub tune: Tuning,
+    pub limits: Granted,
     pub out: Vec<Effect>,
     pub catalog: Option<Catalog>,
     next: RequestId,
@@ -98,6 +100,13 @@
     pub fn log(&mut self, severity: Severity, text: String) {
         self.out.push(Effect::Log(severity, text));
     }
+    /// Changes were refused as too many.
+    pub fn write_refused(&mut self) {
+        if self.limits.refused() {
+            let rate = self.limits.rate();
+            self.log(Severity::Info, format!("state service grants fewer changes: {rate:.1} a second from here"));
+        }
+    }
     /// Whether the state service has lately failed us and not answered since: then users are told
     /// at once to come back, in place of a wait for a time-out.
     pub fn state_down(&self) -> bool {
@@ -165,6 +174,7 @@
         Node {
             ctx: Ctx {
                 now,
+                limits: Granted::new(&set),
                 set: Arc::new(set),
                 tune,
                 out: Vec::new(),
@@ -350,7 +360,9 @@
             _ => self.ctx.state_ok = self.ctx.now.mono,
         }
         match wait {
-            Wait::Front(w) => self.front.state_answer(&mut self.ctx, w, result, &self.counts, self.leader.as_deref()),
+            Wait::Front(w) => {
+                self.front.state_answer(&mut self.ctx, w, sent, result, &self.counts, self.leader.as_deref())
+            }
             Wait::Vote(w) => self.vote_answer(w, sent, result),
             Wait::Catalog => {
                 let found = match result {
@@ -554,7 +566,8 @@
             self.catalog_at = now + self.ctx.set.report_ms() * if known { 20 } else { 1 } / 3;
             self.ctx.state(StateRequest::Get { key: keys::CATALOG.into() }, Wait::Catalog);
         }
-        self.front.turn(&mut self.ctx);
+        self.ctx.limits.turn(now, self.ctx.set.report_ms());
+        self.front.turn(&mut self.ctx, &self.counts, self.leader.as_deref());
         let fresh = self.ctx.set.report_ms() / 2;
         let live = self.peers.values().filter(|p| p.heard > 0 && now.saturating_sub(p.heard) < fresh);
         self.ctx.live_peers = live.clone().count() as u32;
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -19,6 +19,8 @@
 
 /// Most tasks of a job in one transaction.
 const MOST_PIECES: usize = 1024;
+/// Most bytes that a run of tasks takes in a fact, with room for the rest of the fact among many.
+const RUN_BYTES: usize = 20;
 /// An old page of which less than this share still counts is written anew.
 const STALE_SHARE: f64 = 0.5;
 
@@ -135,7 +137,7 @@
     pub(crate) fn queue_write(&mut self, now: u64, id: &Id) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         if job.over() || job.urgent {
-            self.urgent.insert((Reverse(job.spec.urgency), job.at, id.clone()));
+            self.urgent.insert((Reverse(job.urgency), job.at, id.clone()));
         }
         if !job.pending.is_empty() && !job.waits_to_write {
             job.waits_to_write = true;
@@ -145,17 +147,43 @@
 
     /// Puts facts of a job into the transaction; false if not all fit.
     pub(crate) fn gather_facts(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
-        let Some(job) = self.jobs.get(id) else { return true };
-        let taken: Vec<(u32, u64)> = job.pending.iter().take(MOST_PIECES).map(|(p, n)| (*p, *n)).collect();
-        if taken.is_empty() {
-            return true;
+        let most = ctx.limits.page_bytes();
+        // All that is pending, or as much as finds room.
+        let mut pieces = MOST_PIECES.min((most / RUN_BYTES).max(1));
+        loop {
+            let Some(job) = self.jobs.get(id) else { return true };
+            if job.pending.is_empty() {
+                return true;
+            }
+            let (facts, plans, taken) = Self::facts_of(job, pieces);
+            let bytes: usize = facts.iter().map(Fact::bytes).sum();
+            let more = self.pages_needed(f, most, &facts);
+            if f.takes(more, 1 + more, bytes + f.drafted()) {
+                if !plans.is_empty() {
+                    f.expect_job(job);
+                }
+                let all = taken.len() == job.pending.len();
+                self.draft(f, most, id, facts, &taken);
+                f.plans.extend(plans);
+                return all;
+            }
+            if taken.len() <= 1 {
+                return false;
+            }
+            pieces = taken.len() / 2;
         }
-        let mut done = Fact::new(id);
+    }
+
+    /// Facts about the first of a job's tasks of which something is to be written, its plans among
+    /// them, and these tasks.
+    fn facts_of(job: &Job, pieces: usize) -> (Vec<Fact>, Vec<(Id, u64)>, BTreeMap<u32, u64>) {
+        let taken: BTreeMap<u32, u64> = job.pending.iter().take(pieces).map(|(p, n)| (*p, *n)).collect();
+        let mut done = Fact::new(&job.id);
         done.d = true;
-        let mut free = Fact::new(id);
+        let mut free = Fact::new(&job.id);
         let mut placed: BTreeMap<(&Id, u64, u64), Fact> = BTreeMap::new();
         let mut plans = Vec::new();
-        for (piece, _) in &taken {
+        for piece in taken.keys() {
             if job.done.get(*piece) {
                 done.push(*piece);
                 continue;
@@ -163,7 +191,8 @@
             match job.live.get(piece) {
                 Some(list) => {
                     for l in list {
-                        placed.entry((&l.loom, l.shift, l.attempt)).or_insert_with(|| Fact::new(id)).push(*piece);
+                        let key = (&l.loom, l.shift, l.attempt);
+                        placed.entry(key).or_insert_with(|| Fact::new(&job.id)).push(*piece);
                         if l.planned {
                             plans.push((l.loom.clone(), l.slot));
                         }
@@ -177,44 +206,58 @@
             fact.m = Some((loom.to_string(), shift, attempt));
             fact
         }));
-        let bytes: usize = facts.iter().map(Fact::bytes).sum();
-        let most = ctx.set.page_bytes();
-        // What does not fit on the newest page goes on more.
-        let (begun, fits) = (f.drafts.last(), |used: usize| used + bytes <= most);
-        let more = match begun {
-            Some(d) if fits(d.bytes) => 0,
-            None if fits(self.pages.bytes) => 1,
-            Some(_) => 1 + bytes / most * 2,
-            None => 2 + bytes / most * 2,
-        };
-        if !f.takes(more, 1 + more, bytes + f.drafted()) {
-            return false;
+        (facts, plans, taken)
+    }
+
+    /// Where the next facts go: the page being put together, else the newest one if the first of
+    /// them fits there. It may be larger than what may be written by now; then it stays as it is.
+    fn first_page(&self, f: &Flight, most: usize, first: usize) -> (bool, usize) {
+        match f.drafts.last() {
+            Some(d) => (true, d.bytes),
+            None if self.pages.facts.is_empty() || self.pages.bytes + first <= most => (false, self.pages.bytes),
+            None => (false, 0),
         }
+    }
+
+    /// How many pages more a transaction writes with these facts.
+    fn pages_needed(&self, f: &Flight, most: usize, facts: &[Fact]) -> usize {
+        let (begun, mut used) = self.first_page(f, most, facts.first().map_or(0, Fact::bytes));
+        let mut more = usize::from(!begun);
+        for size in facts.iter().map(Fact::bytes) {
+            if used + size > most && used > 0 {
+                (more, used) = (more + 1, 0);
+            }
+            used += size;
+        }
+        more
+    }
+
+    /// Puts facts on the pages of a transaction.
+    fn draft(&self, f: &mut Flight, most: usize, id: &Id, facts: Vec<Fact>, taken: &BTreeMap<u32, u64>) {
         if f.drafts.is_empty() {
             let p = &self.pages;
             let number = p.newest.max(1);
-            f.drafts.push(Draft { number, facts: p.facts.clone(), bytes: p.bytes });
-        }
-        if !plans.is_empty() {
-            f.expect_job(job);
+            let (_, used) = self.first_page(f, most, facts.first().map_or(0, Fact::bytes));
+            f.drafts.push(if used == p.bytes {
+                Draft { number, facts: p.facts.clone(), bytes: p.bytes }
+            } else {
+                Draft { number: number + 1, ..Draft::default() }
+            });
         }
-        let newness: BTreeMap<u32, u64> = taken.iter().copied().collect();
         for fact in facts {
             let size = fact.bytes();
-            let Some(last) = f.drafts.last() else { return false };
+            let Some(last) = f.drafts.last() else { return };
             if last.bytes + size > most && !last.facts.is_empty() {
                 let number = last.number + 1;
                 f.drafts.push(Draft { number, ..Draft::default() });
             }
-            let Some(last) = f.drafts.last_mut() else { return false };
+            let Some(last) = f.drafts.last_mut() else { return };
             let all = fact.n.iter().flat_map(|(from, len)| *from..from + len);
-            let pieces = all.filter_map(|p| newness.get(&p).map(|n| (p, *n))).collect();
+            let pieces = all.filter_map(|p| taken.get(&p).map(|n| (p, *n))).collect();
             f.noted.push(Noted { job: id.clone(), pieces, page: last.number });
             last.bytes += size;
             last.facts.push(fact);
         }
-        f.plans.extend(plans);
-        taken.len() == job.pending.len()
     }
 
     /// Writes the drafted pages into the transaction.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -93,6 +93,7 @@
         if self.ranks_old || now >= self.ranks_at {
             self.ranks_old = false;
             self.ranks_at = now + (ctx.tune.round_s * 1000.0) as u64;
+            self.pass_back(ctx);
             self.guaranteed = self.guaranteed(ctx);
             self.behind = self.yielding(ctx);
             self.spot_below = self.spot_below(ctx);
@@ -106,11 +107,11 @@
                 let plain = j.due().is_none();
                 let estimate = if plain { 0 } else { (self.estimate(j) * 1000.0) as u64 };
                 let group = self.behind.get(&j.id).copied().unwrap_or(0);
-                let age = if j.begun { 0.0 } else { ctx.now.wall.saturating_sub(j.at) as f64 };
+                let age = if j.begun { 0.0 } else { ctx.now.wall.saturating_sub(j.ready_at) as f64 };
                 let first = age > begin * 0.75 && j.placed == 0;
                 let aged = age > begin * 0.5;
                 let due = self.guaranteed.contains(&j.id);
-                ((!first, Reverse(j.spec.urgency), !aged, !due, group, plain, estimate, j.at), &j.id)
+                ((!first, Reverse(j.urgency), !aged, !due, group, plain, estimate, j.ready_at), &j.id)
             })
             .collect();
         list.sort();
@@ -124,7 +125,7 @@
         let safe = self.looms.values().filter(|m| !m.borrowed && m.answers(now, &ctx.set));
         let mut left: i64 = safe.map(|m| m.room.cores).sum();
         let mut may_move = Vec::new();
-        for j in self.jobs.values().filter(|j| !j.aborted) {
+        for j in self.jobs.values().filter(|j| !j.aborted && !j.awaits()) {
             let cores = j.need.cores * i64::from(j.spec.pieces - j.done_count.min(j.spec.pieces));
             if j.spec.borrowed && !j.sent_out {
                 may_move.push((self.estimate(j), cores));
@@ -159,8 +160,8 @@
 
     /// Jobs that fit into their team's guarantee together with its earlier unfinished jobs.
     fn guaranteed(&self, ctx: &Ctx) -> BTreeSet<Id> {
-        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.aborted).collect();
-        by_age.sort_by_key(|j| (j.at, &j.id));
+        let mut by_age: Vec<&Job> = self.jobs.values().filter(|j| !j.aborted && !j.awaits()).collect();
+        by_age.sort_by_key(|j| (j.ready_at, &j.id));
         let mut sums: BTreeMap<&str, Room> = BTreeMap::new();
         let mut fits = BTreeSet::new();
         for j in by_age {
@@ -193,7 +194,7 @@
                     list.sort_by(f64::total_cmp);
                     list.get(usize::from(level)).copied()
                 };
-                let age = (ctx.now.wall as f64 - j.at as f64) / 1000.0;
+                let age = (ctx.now.wall as f64 - j.ready_at as f64) / 1000.0;
                 let estimate = self.estimate(j);
                 // An aim on starts leaves the last task's own run time on top. One that is shorter
                 // than a fetch or a round says nothing about the order.
@@ -278,7 +279,7 @@
             }
             let (hasty, image) = (self.hasty(ctx, job), job.image);
             let due = self.guaranteed.contains(&id);
-            let may_stop = due || job.spec.urgency > Urgency::Normal;
+            let may_stop = due || job.urgency > Urgency::Normal;
             let attempt = self.next_attempt();
             let mut seats = seats.into_iter();
             let mut from = 0;
@@ -383,7 +384,7 @@
         let spot = job.spec.borrowed && (job.sent_out || self.estimate(job) < self.spot_below);
         // What more urgent work may stop is spread out, so that such work finds room beside it on a
         // machine that holds its image.
-        let yielding = job.spec.urgency <= Urgency::Normal && !hasty && !job.is_gang();
+        let yielding = job.urgency <= Urgency::Normal && !hasty && !job.is_gang();
         let mut seats: Vec<Seat> = Vec::new();
         for m in self.looms.values() {
             if !m.free().fits(&job.need) || !m.usable(now, &ctx.set) || m.places.len() >= cap {
@@ -488,8 +489,8 @@
         let due = !with_image && guaranteed.contains(id);
         let yields = |j: &Job| {
             let back = due && j.spec.crew != job.spec.crew && !guaranteed.contains(&j.id) && borrows(&j.spec.crew);
-            let back = back && j.spec.urgency <= job.spec.urgency && !j.is_service();
-            j.spec.mark_every_s <= 0.0 && (j.spec.urgency < job.spec.urgency || back)
+            let back = back && j.urgency <= job.urgency && !j.is_service();
+            j.spec.mark_every_s <= 0.0 && (j.urgency < job.urgency || back)
         };
         let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
         let mut looked = 0;
@@ -592,7 +593,9 @@
                 ahead += own * f64::from(j.waiting());
             }
         }
-        for id in sent {
+        // Later stages follow.
+        let later: Vec<Id> = sent.iter().flat_map(|id| self.later_stages(id)).collect();
+        for id in sent.into_iter().chain(later) {
             if let Some(j) = self.jobs.get_mut(&id)
                 && !j.sent_out
             {
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -141,7 +141,7 @@
                 .map(|m| m.id.clone())
                 .collect();
             ctx.log(Severity::Info, format!("{} machines are owned", owned.len()));
-            let most = ctx.set.value_bytes();
+            let most = ctx.limits.value_bytes();
             let mut parts: Vec<(usize, Vec<String>)> = vec![(0, Vec::new())];
             for name in &owned {
                 let bytes = name.len() + 3;
@@ -271,7 +271,7 @@
         if let Some(s) = aim.finish() {
             wait = wait.min((s - self.estimate(job)) * ctx.tune.aim_share - boot_s);
         }
-        ctx.now.wall.saturating_sub(job.at) as f64 / 1000.0 >= wait
+        ctx.now.wall.saturating_sub(job.ready_at) as f64 / 1000.0 >= wait
     }
 
     /// Rents the cheapest fitting machines for what is sent out and not covered by rented room
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -54,8 +54,26 @@
     }
 }
 
+/// Limits of the state service.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Limits {
+    /// KiB per value.
+    pub value_kb: f64,
+    /// Writes per transaction.
+    pub txn_ops: usize,
+    /// Writes a second.
+    pub write_rps: f64,
+}
+
+impl Limits {
+    /// Bytes that one value may have, with room for its frame.
+    pub fn value_bytes(&self) -> usize {
+        (self.value_kb * 1024.0 * 0.95) as usize
+    }
+}
+
 /// The platform's settings, as the owner needs them.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Settings {
     /// This node.
     pub label: String,
@@ -77,12 +95,10 @@
     pub cancel_s: f64,
     /// State service: requests a second.
     pub state_rps: f64,
-    /// State service: writes a second.
-    pub state_write_rps: f64,
-    /// State service: KiB per value.
-    pub value_kb: f64,
-    /// State service: writes per transaction.
-    pub txn_ops: usize,
+    /// State service: its limits today.
+    pub state: Limits,
+    /// State service: its limits from some moment on, of which nobody tells.
+    pub state_next: Option<Limits>,
     /// Cloud: requests a second.
     pub cloud_rps: f64,
     /// Cloud: how old a list is.
@@ -172,16 +188,4 @@
     pub fn report_ms(&self) -> u64 {
         (self.report_s * 1000.0) as u64
     }
-    /// Bytes of a page of facts: half of a value, so that writing the newest one again stays cheap.
-    pub fn page_bytes(&self) -> usize {
-        self.value_bytes() / 2
-    }
-    /// Machines that are kept in one key.
-    pub fn block_looms(&self) -> usize {
-        (self.value_bytes() / 360).max(1)
-    }
-    /// Bytes that one value may have, with room for its frame.
-    pub fn value_bytes(&self) -> usize {
-        (self.value_kb * 1024.0 * 0.95) as usize
-    }
 }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -7,6 +7,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use shaleshunt_core::io::{Answer, CloudRequest, Command, Effect, OrdersReply};
+use shaleshunt_core::settings::Limits;
 use shaleshunt_core::{IoError, Node, Now, Settings, StateRequest, Tuning};
 use shaleshunt_peer::Frame;
 use shaleshunt_wire::user::{JobStatus, Submission};
@@ -78,6 +79,8 @@
     next_at: u64,
     /// Submits again after the end, which must show the end.
     again: bool,
+    /// Submits only when all that it awaits is over.
+    pub late: bool,
 }
 
 /// A trouble, at a time.
@@ -129,6 +132,8 @@
     Duds(u32),
     /// A job's tasks fail everywhere.
     Broken(String),
+    /// The state service lowers its limits for good.
+    StateLimits(Limits),
     /// A replica's or task's machine is gone: the machine that runs this task.
     LostUnder(String),
 }
@@ -154,7 +159,11 @@
             | Trouble::Taken(_, ms)
             | Trouble::CloudDown(ms) => *ms,
             Trouble::LateCopies(ms, by) | Trouble::LateOrders(_, ms, by) | Trouble::LateHires(ms, by) => ms + by,
-            Trouble::Lost(_) | Trouble::Duds(_) | Trouble::Broken(_) | Trouble::LostUnder(_) => 0,
+            Trouble::StateLimits(_)
+            | Trouble::Lost(_)
+            | Trouble::Duds(_)
+            | Trouble::Broken(_)
+            | Trouble::LostUnder(_) => 0,
         }
     }
 }
@@ -272,6 +281,7 @@
             log: None,
         };
         w.check.limits = w.settings[0].teams.iter().map(|(n, t)| (n.clone(), t.limit.0 as f64 / 1000.0)).collect();
+        w.state.limits = w.settings[0].state.clone();
         w.check.cancel_ms = (w.settings[0].cancel_s * 1000.0) as u64;
         for i in 0..n {
             w.at(1 + i as u64 * 7, What::Restart(i));
@@ -288,7 +298,17 @@
     /// Adds a user.
     pub fn user(&mut self, spec: Submission, at: u64, withdraw_at: Option<u64>) {
         let id = spec.id.clone();
-        let u = User { spec, at, withdraw_at, accepted: false, over: false, over_at: None, next_at: 0, again: false };
+        let u = User {
+            spec,
+            at,
+            withdraw_at,
+            accepted: false,
+            over: false,
+            over_at: None,
+            next_at: 0,
+            again: false,
+            late: false,
+        };
         self.users.insert(id.clone(), u);
         self.at(at, What::User(id.clone()));
         if let Some(t) = withdraw_at {
@@ -747,11 +767,22 @@
         }
     }
 
+    /// Whether what a job awaits has come far enough for its user: accepted, or over for a late one.
+    fn may_submit(&self, job: &str) -> bool {
+        let Some(u) = self.users.get(job).filter(|u| !u.accepted) else { return true };
+        let known = u.spec.awaits.iter().filter(|need| *need != job).filter_map(|need| self.users.get(need));
+        known.into_iter().all(|n| n.accepted && (!u.late || n.over))
+    }
+
     fn user_acts(&mut self, job: &str) {
         let now = self.now;
         let up: Vec<usize> =
             (0..self.nodes.len()).filter(|&i| self.nodes[i].is_some() && self.cut(i, Side::All).is_none()).collect();
         let pick = if up.is_empty() { None } else { Some(up[self.rng.random_range(0..up.len())]) };
+        if !self.may_submit(job) {
+            self.at(now + 100, What::User(job.into()));
+            return;
+        }
         let Some(u) = self.users.get_mut(job) else { return };
         // Superseded by a later appointment.
         if now < u.next_at {
@@ -883,6 +914,7 @@
             }
             Trouble::LateHires(ms, by) => self.late_hires = (now + ms, by),
             Trouble::Duds(n) => self.cloud.duds = n,
+            Trouble::StateLimits(limits) => self.state.limits = limits,
             Trouble::Broken(job) => {
                 self.broken.insert(job);
             }
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -77,6 +77,14 @@
     /// Deadline, from the submission.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub due_s: Option<f64>,
+    /// Jobs that have to be done before any task of this one starts.
+    #[serde(default, deserialize_with = "null_is_none", skip_serializing_if = "Vec::is_empty")]
+    pub awaits: Vec<String>,
+}
+
+/// A list that may also be null.
+fn null_is_none<'de, D: serde::Deserializer<'de>>(from: D) -> Result<Vec<String>, D::Error> {
+    Ok(Option::<Vec<String>>::deserialize(from)?.unwrap_or_default())
 }
 
 /// Why a submission is malformed.
@@ -98,7 +106,7 @@
 impl Submission {
     /// Reads a submission from a request's body and checks every field.
     pub fn parse(body: &[u8]) -> Result<Submission, Malformed> {
-        let s: Submission = serde_json::from_slice(body)?;
+        let mut s: Submission = serde_json::from_slice(body)?;
         let name = |n: &str| !n.is_empty() && n.len() <= LONG_NAME;
         let amount = |x: f64| x.is_finite() && (0.0..=HUGE).contains(&x);
         let check = |ok: bool, field: &'static str| if ok { Ok(()) } else { Err(Malformed::Field(field)) };
@@ -118,6 +126,10 @@
         check(amount(s.mark_every_s), "markEveryS")?;
         check(amount(s.mark_takes_s), "markTakesS")?;
         check(s.due_s.is_none_or(amount), "dueS")?;
+        check(s.awaits.iter().all(|id| valid_id(id)), "awaits")?;
+        // Named twice counts once.
+        let mut seen = std::collections::BTreeSet::new();
+        s.awaits.retain(|id| seen.insert(id.clone()));
         Ok(s)
     }
 
