--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -69,7 +69,7 @@
 /// What waits for a look at jobs that are awaited.
 #[derive(Debug)]
 enum Held {
-    Submit(Pending),
+    Submit(Box<Pending>),
     Ask(Asked, u64),
 }
 
@@ -207,7 +207,7 @@
         match self.before(ctx, &p.spec.awaits) {
             Before::Unknown(jobs) => {
                 self.look_at_jobs(ctx, jobs);
-                self.held.push(Held::Submit(p));
+                self.held.push(Held::Submit(Box::new(p)));
                 return;
             }
             Before::Doomed => p.doomed = true,
@@ -296,7 +296,7 @@
                         self.read(ctx, Asked { id: p.id, job: p.spec.id, why, tries: 0 });
                     }
                     Held::Submit(p) if late(&Held::Submit(p.clone())) => ctx.answer(p.id, unavailable(NOT_KNOWN)),
-                    Held::Submit(p) => self.admit(ctx, p),
+                    Held::Submit(p) => self.admit(ctx, *p),
                     Held::Ask(asked, since) if late(&Held::Ask(asked.clone(), since)) => {
                         ctx.answer(asked.id, unavailable(NOT_KNOWN));
                     }
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -116,6 +116,49 @@
     pub page: u32,
 }
 
+/// What is to be written of a job: facts, the plans among them, and the tasks with how new that is.
+struct Told {
+    facts: Vec<Fact>,
+    plans: Vec<(Id, u64)>,
+    taken: BTreeMap<u32, u64>,
+}
+
+impl Told {
+    /// Of the first of a job's tasks of which something is to be written.
+    fn new(job: &Job, pieces: usize) -> Told {
+        let taken: BTreeMap<u32, u64> = job.pending.iter().take(pieces).map(|(p, n)| (*p, *n)).collect();
+        let mut done = Fact::new(&job.id);
+        done.d = true;
+        let mut free = Fact::new(&job.id);
+        let mut placed: BTreeMap<(&Id, u64, u64), Fact> = BTreeMap::new();
+        let mut plans = Vec::new();
+        for piece in taken.keys() {
+            if job.done.get(*piece) {
+                done.push(*piece);
+                continue;
+            }
+            match job.live.get(piece) {
+                Some(list) => {
+                    for l in list {
+                        let key = (&l.loom, l.shift, l.attempt);
+                        placed.entry(key).or_insert_with(|| Fact::new(&job.id)).push(*piece);
+                        if l.planned {
+                            plans.push((l.loom.clone(), l.slot));
+                        }
+                    }
+                }
+                None => free.push(*piece),
+            }
+        }
+        let mut facts: Vec<Fact> = [done, free].into_iter().filter(|f| !f.n.is_empty()).collect();
+        facts.extend(placed.into_iter().map(|((loom, shift, attempt), mut fact)| {
+            fact.m = Some((loom.to_string(), shift, attempt));
+            fact
+        }));
+        Told { facts, plans, taken }
+    }
+}
+
 fn key(number: u32) -> String {
     // In the order of the keys the pages are in the order of their numbers.
     format!("{}{number:010}", keys::PAGES)
@@ -155,7 +198,7 @@
             if job.pending.is_empty() {
                 return true;
             }
-            let (facts, plans, taken) = Self::facts_of(job, pieces);
+            let Told { facts, plans, taken } = Told::new(job, pieces);
             let bytes: usize = facts.iter().map(Fact::bytes).sum();
             let more = self.pages_needed(f, most, &facts);
             if f.takes(more, 1 + more, bytes + f.drafted()) {
@@ -174,41 +217,6 @@
         }
     }
 
-    /// Facts about the first of a job's tasks of which something is to be written, its plans among
-    /// them, and these tasks.
-    fn facts_of(job: &Job, pieces: usize) -> (Vec<Fact>, Vec<(Id, u64)>, BTreeMap<u32, u64>) {
-        let taken: BTreeMap<u32, u64> = job.pending.iter().take(pieces).map(|(p, n)| (*p, *n)).collect();
-        let mut done = Fact::new(&job.id);
-        done.d = true;
-        let mut free = Fact::new(&job.id);
-        let mut placed: BTreeMap<(&Id, u64, u64), Fact> = BTreeMap::new();
-        let mut plans = Vec::new();
-        for piece in taken.keys() {
-            if job.done.get(*piece) {
-                done.push(*piece);
-                continue;
-            }
-            match job.live.get(piece) {
-                Some(list) => {
-                    for l in list {
-                        let key = (&l.loom, l.shift, l.attempt);
-                        placed.entry(key).or_insert_with(|| Fact::new(&job.id)).push(*piece);
-                        if l.planned {
-                            plans.push((l.loom.clone(), l.slot));
-                        }
-                    }
-                }
-                None => free.push(*piece),
-            }
-        }
-        let mut facts: Vec<Fact> = [done, free].into_iter().filter(|f| !f.n.is_empty()).collect();
-        facts.extend(placed.into_iter().map(|((loom, shift, attempt), mut fact)| {
-            fact.m = Some((loom.to_string(), shift, attempt));
-            fact
-        }));
-        (facts, plans, taken)
-    }
-
     /// Where the next facts go: the page being put together, else the newest one if the first of
     /// them fits there. It may be larger than what may be written by now; then it stays as it is.
     fn first_page(&self, f: &Flight, most: usize, first: usize) -> (bool, usize) {
