--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -77,7 +77,7 @@
 enum Before {
     /// Each is done, or was open a short while ago.
     Clear,
-    /// One is cancelled.
+    /// One is cancelled, and all that are named were accepted.
     Doomed,
     /// Of these it is not known.
     Unknown(Vec<String>),
@@ -224,21 +224,30 @@
         let patience = (ctx.set.cancel_s * 250.0) as u64;
         let mut seen: HashSet<&str> = HashSet::new();
         let mut list: Vec<&String> = awaits.iter().collect();
-        let mut unknown = Vec::new();
+        let (mut unknown, mut doomed) = (Vec::new(), false);
         while let Some(job) = list.pop() {
             if !seen.insert(job) {
                 continue;
             }
             match (self.finals.of.get(job), self.open.of.get(job)) {
                 (Some((JobStatus::Done, _)), _) => {}
-                (Some(_), _) => return Before::Doomed,
+                (Some(_), _) => doomed = true,
                 (None, Some(k)) if ctx.now.mono.saturating_sub(k.open_at) < patience && k.open_at > 0 => {
                     list.extend(&k.awaits);
                 }
                 (None, _) => unknown.push(job.clone()),
             }
         }
-        if unknown.is_empty() { Before::Clear } else { Before::Unknown(unknown) }
+        if doomed {
+            // Whoever names a cancelled job is cancelled too, but only if all that it names was
+            // accepted once.
+            unknown.retain(|job| awaits.contains(job) && !self.open.of.contains_key(job));
+        }
+        match unknown.is_empty() {
+            false => Before::Unknown(unknown),
+            true if doomed => Before::Doomed,
+            true => Before::Clear,
+        }
     }
 
     /// Has jobs looked at: compared with others if their records are known, else read.
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -157,10 +157,12 @@
                 if matches!(state, JobStatus::Queued | JobStatus::Running) && before.iter().any(late) {
                     self.break_rule(now, "orphaned", &format!("{job} is {state:?}"));
                 }
-                if state == JobStatus::Done && self.done.insert(job.into()) {
-                    if !self.all_done(&spec) || spec.shape == Shape::Daemon {
-                        self.break_rule(now, "not_done", job);
-                    }
+                let all = self.all_done(&spec) && spec.shape != Shape::Daemon;
+                if state == JobStatus::Done && self.done.insert(job.into()) && !all {
+                    self.break_rule(now, "not_done", job);
+                }
+                if spec.awaits.iter().any(|need| !self.jobs.contains_key(need)) {
+                    self.break_rule(now, "invented", &format!("{job} needs a job that nobody has submitted"));
                 }
                 if state == JobStatus::Aborted {
                     self.cancelled.entry(job.into()).or_insert(now);
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -137,7 +137,7 @@
                 }
                 "machines" => s.machines.push((w.next()?.into(), w.next()?.into(), w.number()?)),
                 "job" => {
-                    let (spec, at, withdraw, copies, every, late) = job(&mut w)?;
+                    let JobLine { spec, at, withdraw, copies, every, late } = job(&mut w)?;
                     for n in 1..=copies {
                         let at = at + u64::from(n - 1) * every;
                         let name = |id: &str| if copies > 1 { format!("{id}-{n}") } else { id.to_string() };
@@ -391,7 +391,18 @@
     Ok(Limits { value_kb: w.number()?, txn_ops: w.number()?, write_rps: w.number()? })
 }
 
-fn job(w: &mut Words) -> Result<(Submission, u64, Option<u64>, u32, u64, bool), BadLine> {
+/// A job's line: its submission, when it comes and is cancelled, how often and at which interval, and
+/// whether its user waits for the end of what it awaits.
+struct JobLine {
+    spec: Submission,
+    at: u64,
+    withdraw: Option<u64>,
+    copies: u32,
+    every: u64,
+    late: bool,
+}
+
+fn job(w: &mut Words) -> Result<JobLine, BadLine> {
     let mut s = Submission {
         id: w.next()?.into(),
         jobline: "work".into(),
@@ -447,7 +458,7 @@
             other => return w.fail(format!("no such word of a job: {other}")),
         }
     }
-    Ok((s, at, withdraw, copies, every, late))
+    Ok(JobLine { spec: s, at, withdraw, copies, every, late })
 }
 
 fn trouble(w: &mut Words) -> Result<Trouble, BadLine> {
