--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -172,7 +172,9 @@
         // What becomes due meanwhile shares the next one.
         let gap = 1000.0 / (ctx.set.state_rps * ctx.tune.request_share).max(1.0);
         let scarce = self.writes < rate / 4.0;
-        self.commit_at = now + if scarce { gap * 5.0 } else { gap } as u64;
+        // With few in hand a transaction is to be worth its page.
+        let apart = (gap * 5.0).max(ctx.set.report_s * 1000.0 / 12.0);
+        self.commit_at = now + if scarce { apart } else { gap } as u64;
         self.writes -= f.txn.txn.writes.len() as f64;
         self.written = (self.written.0 + f.txn.txn.writes.len() as u32, self.written.1 + 1);
         let txn = f.txn.txn.clone();
@@ -185,6 +187,9 @@
         let now = ctx.now.mono;
         self.gather_blocks(ctx, f);
         self.gather_hires(f);
+        // Users wait for ends as for starts: each may take half of what there is, and what the other
+        // leaves.
+        self.gather_ends(ctx, f, f.txn.ops.div_ceil(2));
         let due: Vec<(Reverse<_>, u64, Id)> = self.urgent.iter().take(f.txn.conditions).cloned().collect();
         let mut refused = 0;
         for key in due {
@@ -192,7 +197,8 @@
                 break;
             }
             refused += 1;
-            if self.gather_job(ctx, f, &key.2) {
+            let open = self.jobs.get(&key.2).is_some_and(|j| !j.stale && !j.over());
+            if !open || self.gather_facts(ctx, f, &key.2) {
                 refused -= 1;
                 self.urgent.remove(&key);
                 if let Some(job) = self.jobs.get_mut(&key.2) {
@@ -200,6 +206,7 @@
                 }
             }
         }
+        self.gather_ends(ctx, f, f.txn.ops);
         // The first part last: without it the others do not count.
         while let Some((n, part)) = self.owned_dirty.last_key_value() {
             let v = json!(part);
@@ -247,7 +254,12 @@
             self.gather_dead_pages(f);
             self.drain_page(now);
         }
-        if !self.legacy.is_empty() && self.urgent.is_empty() && self.lazy.is_empty() && self.dirty_blocks.is_empty() {
+        if !self.legacy.is_empty()
+            && self.urgent.is_empty()
+            && self.ends.is_empty()
+            && self.lazy.is_empty()
+            && self.dirty_blocks.is_empty()
+        {
             self.orphans.append(&mut self.legacy);
         }
         while spare(f, self.writes) && !f.txn.full() {
@@ -405,18 +417,27 @@
         true
     }
 
-    /// Puts a job's end or its facts into the transaction; whether nothing is left to write at once.
-    fn gather_job(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
-        let Some(job) = self.jobs.get_mut(id) else { return true };
-        // It comes back when its record has been read again.
-        if job.stale || f.finals.contains(id) {
-            return true;
+    /// Puts jobs' ends into the transaction while it has fewer writes than this.
+    fn gather_ends(&mut self, ctx: &Ctx, f: &mut Flight, most: usize) {
+        while f.txn.txn.writes.len() + f.drafts.len() < most
+            && let Some(key) = self.ends.first().cloned()
+        {
+            if !self.gather_end(ctx, f, &key.2) {
+                break;
+            }
+            self.ends.remove(&key);
         }
-        if !job.over() {
-            return self.gather_facts(ctx, f, id);
+    }
+
+    /// Puts a job's end into the transaction; false if there is no room. It has ended when every
+    /// placement of it has been proven gone.
+    fn gather_end(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
+        // One that is stale comes back when its record has been read again.
+        let Some(job) = self.jobs.get(id).filter(|j| !j.stale && j.over()) else { return true };
+        if f.finals.contains(id) {
+            return true;
         }
-        // It ends when every placement of it has been proven gone.
-        if !f.takes(3, 3, 400 + f.drafted()) {
+        if !f.takes(2 + usize::from(job.cancel_key), 3, 400 + f.drafted()) {
             return false;
         }
         let path = format!("{}{id}", keys::JOBS);
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -204,7 +204,8 @@
 
     /// Queues a submission, unless something is to be found out about the jobs that it awaits.
     fn admit(&mut self, ctx: &mut Ctx, mut p: Pending) {
-        match self.before(ctx, &p.spec.awaits) {
+        let fresh = ctx.now.mono.saturating_sub((ctx.set.cancel_s * 250.0) as u64).max(1);
+        match self.before(&p.spec.awaits, fresh) {
             Before::Unknown(jobs) => {
                 self.look_at_jobs(ctx, jobs);
                 self.held.push(Held::Submit(Box::new(p)));
@@ -217,11 +218,11 @@
         self.queue.push_back(p);
     }
 
-    /// What is known of these jobs and all that they await. A job must not be called open for long
-    /// after one before it was cancelled, whoever leads and however long nobody did: so each of them
-    /// was seen open a quarter of that time ago at most.
-    fn before(&self, ctx: &Ctx, awaits: &[String]) -> Before {
-        let patience = (ctx.set.cancel_s * 250.0) as u64;
+    /// What is known of these jobs and all that they await, each seen open not before a time. For a
+    /// question that is when it came: so its answer is as fresh as if the job's own record had
+    /// changed with those before it, whoever leads and however long nobody did. A new job, of which
+    /// nobody was told anything yet, does with what was seen well within `cancel_s`.
+    fn before(&self, awaits: &[String], since: u64) -> Before {
         let mut seen: HashSet<&str> = HashSet::new();
         let mut list: Vec<&String> = awaits.iter().collect();
         let (mut unknown, mut doomed) = (Vec::new(), false);
@@ -232,7 +233,7 @@
             match (self.finals.of.get(job), self.open.of.get(job)) {
                 (Some((JobStatus::Done, _)), _) => {}
                 (Some(_), _) => doomed = true,
-                (None, Some(k)) if ctx.now.mono.saturating_sub(k.open_at) < patience && k.open_at > 0 => {
+                (None, Some(k)) if k.open_at >= since => {
                     list.extend(&k.awaits);
                 }
                 (None, _) => unknown.push(job.clone()),
@@ -343,7 +344,7 @@
             && let Some(known) = self.open.of.get(&asked.job)
         {
             // What it awaits is compared along with it.
-            if let Before::Unknown(jobs) = self.before(ctx, &known.awaits) {
+            if let Before::Unknown(jobs) = self.before(&known.awaits, ctx.now.mono) {
                 self.look_at_jobs(ctx, jobs);
             }
             self.polls.push_back((ctx.now.mono, asked));
@@ -414,10 +415,13 @@
         if let Some(known) = self.open.of.get(&asked.job)
             && !matches!(asked.why, Why::Look(_))
         {
-            match self.before(ctx, &known.awaits) {
+            match self.before(&known.awaits, since) {
                 Before::Clear => {}
+                // One before it was cancelled, so it never runs: that is as final as its own record
+                // will be, and every node finds the same.
                 Before::Doomed => {
-                    ctx.answer(asked.id, unavailable("about to be cancelled"));
+                    self.remember(ctx, &asked.job, JobStatus::Aborted, 0);
+                    ctx.answer(asked.id, Answer::Job(200, final_view(&asked.job, JobStatus::Aborted, 0)));
                     return;
                 }
                 Before::Unknown(jobs) => {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -101,7 +101,9 @@
     /// Blocks of machines by number, and those to be written.
     pub(crate) blocks: BTreeMap<u32, Block>,
     pub(crate) dirty_blocks: BTreeSet<u32>,
-    /// Jobs with plans or ends to write, most urgent first; jobs with outcomes, oldest first.
+    /// Jobs with plans to write, most urgent first; jobs that ended, oldest first, behind them those
+    /// that are cancelled with another; jobs with outcomes, oldest first.
+    pub(crate) ends: BTreeSet<(bool, u64, Id)>,
     pub(crate) urgent: BTreeSet<(Reverse<Urgency>, u64, Id)>,
     pub(crate) lazy: BTreeSet<(u64, Id)>,
     /// Records of an earlier form, with versions. They go when all they held has been written anew.
@@ -193,6 +195,7 @@
             touches: 0,
             blocks: BTreeMap::new(),
             dirty_blocks: BTreeSet::new(),
+            ends: BTreeSet::new(),
             urgent: BTreeSet::new(),
             lazy: BTreeSet::new(),
             orphans: BTreeMap::new(),
@@ -666,12 +669,13 @@
         let used = self.looms.values().filter(|m| m.usable(ctx.now.mono, &ctx.set)).count();
         let line = format!(
             "{} jobs, {waiting} tasks wait, {used} of {} machines usable; {} writes in {} transactions, {:.0} in hand, \
-             {} jobs to write at once, {} later, {} pages{}",
+             {} ends and {} jobs to write at once, {} later, {} pages{}",
             self.jobs.len(),
             self.looms.len(),
             self.written.0,
             self.written.1,
             self.writes,
+            self.ends.len(),
             self.urgent.len(),
             self.lazy.len(),
             self.pages.len(),
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -11,11 +11,13 @@
 const LEAST_OPS: usize = 3;
 /// So many refusals more than grants show that the rate has fallen.
 const REFUSALS: u32 = 4;
-/// What a rate that nobody announced falls to, and rises by in a reporting interval.
-const FALL: f64 = 0.9;
-const RISE: f64 = 1.02;
-/// It never falls below this share.
+/// What a rate that nobody announced falls to, and rises by in a reporting interval. It falls once in
+/// an interval: refusals go on for a while after the fall, until the debt is paid.
+const FALL: f64 = 0.85;
+const RISE: f64 = 1.03;
+/// It never falls below this share, and one that was announced not below that share.
 const LEAST_RATE: f64 = 0.5;
+const LEAST_ANNOUNCED: f64 = 0.85;
 
 /// Limits in force, as far as this process knows.
 #[derive(Debug, Clone)]
@@ -26,7 +28,9 @@
     next_rate: Option<f64>,
     /// The rate that is strived for.
     ceiling: f64,
+    least: f64,
     refusals: u32,
+    fell_at: u64,
     risen_at: u64,
 }
 
@@ -42,7 +46,9 @@
             half_value: today.value_bytes() / 2,
             next_rate: next.map(|n| n.write_rps).filter(|r| *r < today.write_rps),
             ceiling: now.write_rps,
+            least: now.write_rps * LEAST_RATE,
             refusals: 0,
+            fell_at: 0,
             risen_at: 0,
             now,
         }
@@ -85,17 +91,24 @@
         self.refusals = self.refusals.saturating_sub(1);
     }
     /// Changes were refused as too many. True if the rate is taken to have fallen.
-    pub fn refused(&mut self) -> bool {
+    pub fn refused(&mut self, now: u64, report_ms: u64) -> bool {
+        if self.fell_at > 0 && now.saturating_sub(self.fell_at) < report_ms {
+            return false;
+        }
         self.refusals += 1;
         if self.refusals < REFUSALS {
             return false;
         }
-        self.refusals = 0;
+        (self.refusals, self.fell_at, self.risen_at) = (0, now, now);
+        let before = self.now.write_rps;
         match self.next_rate.take() {
-            Some(rate) => (self.ceiling, self.now.write_rps) = (rate, rate),
-            None => self.now.write_rps = (self.now.write_rps * FALL).max(self.ceiling * LEAST_RATE),
+            Some(rate) => {
+                (self.ceiling, self.now.write_rps) = (rate, rate);
+                self.least = rate * LEAST_ANNOUNCED;
+            }
+            None => self.now.write_rps = (before * FALL).max(self.least),
         }
-        true
+        self.now.write_rps < before
     }
     /// Time passes: a rate that fell without notice is tried again, little by little.
     pub fn turn(&mut self, now: u64, report_ms: u64) {
@@ -121,7 +134,8 @@
         assert_eq!((g.ops(), g.conditions(), g.page_bytes()), (8, 32, g.value_bytes()));
         assert!(g.value_bytes() < 2048 && g.block_looms() * 200 <= g.value_bytes());
         assert_eq!(g.rate(), 30.0);
-        assert!((0..3).all(|_| !g.refused()) && g.refused());
+        assert!((0..3).all(|_| !g.refused(500, 3000)) && g.refused(500, 3000));
+        assert!((0..9).all(|_| !g.refused(3000, 3000)), "the debt is paid first");
         assert_eq!(g.rate(), 21.0);
         g.turn(1_000_000, 3000);
         assert_eq!(g.rate(), 21.0, "it stays");
@@ -137,7 +151,7 @@
         assert!(g.too_large() && g.ops() == 12 && g.value_bytes() <= before / 2);
         assert!((0..10).any(|_| !g.too_large()), "there is an end to it");
         assert!(g.ops() >= 3 && g.value_bytes() > 900);
-        (0..100).for_each(|_| assert!(g.refused() || g.rate() >= 15.0));
+        (1..100).for_each(|n| assert!(g.refused(n * 3000, 3000) || g.rate() >= 15.0));
         assert_eq!(g.rate(), 15.0);
         (1..200).for_each(|n| g.turn(n * 3000, 3000));
         assert_eq!(g.rate(), 30.0);
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -281,6 +281,8 @@
     pub pending: BTreeMap<u32, u64>,
     /// A plan is among it.
     pub urgent: bool,
+    /// Since when its end waits to be written.
+    pub over_at: Option<u64>,
     /// It is among the jobs whose outcomes wait to be written.
     pub waits_to_write: bool,
     /// By task, the page with the last fact about it, 0 for none; empty before the first.
@@ -335,6 +337,7 @@
             done_count: 0,
             pending: BTreeMap::new(),
             urgent: false,
+            over_at: None,
             waits_to_write: false,
             facts: Vec::new(),
             live: BTreeMap::new(),
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -102,7 +102,7 @@
     }
     /// Changes were refused as too many.
     pub fn write_refused(&mut self) {
-        if self.limits.refused() {
+        if self.limits.refused(self.now.mono, self.set.report_ms()) {
             let rate = self.limits.rate();
             self.log(Severity::Info, format!("state service grants fewer changes: {rate:.1} a second from here"));
         }
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -179,7 +179,11 @@
     /// Queues what a job has to write, its end included.
     pub(crate) fn queue_write(&mut self, now: u64, id: &Id) {
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.over() || job.urgent {
+        if job.over() {
+            let since = *job.over_at.get_or_insert(now);
+            // What is cancelled with another is known to be so from that one's record meanwhile.
+            self.ends.insert((job.aborted && !job.cancel_key, since, id.clone()));
+        } else if job.urgent {
             self.urgent.insert((Reverse(job.urgency), job.at, id.clone()));
         }
         if !job.pending.is_empty() && !job.waits_to_write {
