--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -14,6 +14,7 @@
 use crate::model::*;
 use crate::node::{Ctx, Wait};
 use crate::pages::{Draft, Noted};
+use crate::parts::Parts;
 use serde_json::json;
 use shaleshunt_wire::MAX_BODY;
 use shaleshunt_wire::state::{Condition, Txn, Write};
@@ -35,6 +36,7 @@
     hires: Vec<String>,
     hires_dropped: Vec<String>,
     orphans: Vec<String>,
+    pub(crate) parts: Vec<Parts>,
     owned: Vec<(String, u32, Vec<String>)>,
     catalog: bool,
     unanswered: bool,
@@ -130,6 +132,10 @@
     pub(crate) fn expect_job(&mut self, job: &Job) {
         self.txn.expect_job(job);
     }
+    pub(crate) fn expect_absent(&mut self, path: String) {
+        self.txn.bytes += path.len() + 40;
+        self.txn.txn.conditions.push(Condition { path, stamp: 0 });
+    }
 }
 
 impl Leader {
@@ -251,6 +257,7 @@
         // The rest takes what others leave: half of the budget stays free for what is urgent.
         let spare = |f: &Flight, writes: f64| writes - f.txn.txn.writes.len() as f64 >= rate / 2.0;
         if spare(f, self.writes) {
+            self.gather_parts(f);
             self.gather_dead_pages(f);
             self.drain_page(now);
         }
@@ -591,6 +598,7 @@
                 ctx.log(Severity::Debug, format!("job {id} {how}"));
                 self.forget_facts(&job);
                 self.unlink(&job);
+                self.dead_parts.extend(self.parts.remove(&id));
                 self.ranks_old = true;
                 let end = FinalRecord { x: job.aborted, n: 0, t: ctx.now.wall };
                 self.end_known(ctx, &id, &end);
@@ -621,6 +629,7 @@
         for name in f.hires_dropped {
             self.hires.remove(&name);
         }
+        self.orphans.extend(f.parts.into_iter().flat_map(|parts| parts.into_iter().skip(1)));
         self.owned_stamps.extend(f.owned.into_iter().map(|(key, ..)| (key, ledger)));
         if f.catalog {
             self.catalog_stamp = Some(ledger);
@@ -660,6 +669,9 @@
                 h.writing = false;
             }
         }
+        // Those of a job that was accepted meanwhile may be in use.
+        let taken = |parts: &Parts| stale.iter().any(|id| parts.iter().any(|(key, _)| key[2..].starts_with(&**id)));
+        self.dead_parts.extend(f.parts.into_iter().filter(|parts| !taken(parts)));
         for key in f.orphans {
             let stamp = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
             self.orphans.insert(key, stamp);
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -5,8 +5,9 @@
 use crate::leader::Leader;
 use crate::model::{FinalRecord, JobRecord, keys};
 use crate::node::{Ctx, Wait};
+use crate::parts::{Large, LargeRecord, Stored, join};
 use serde_json::json;
-use shaleshunt_wire::state::{Condition, Txn, Write};
+use shaleshunt_wire::state::{Condition, Pair, Txn, Write};
 use shaleshunt_wire::user::{JobStatus, JobView, Shape, Submission};
 use shaleshunt_wire::{MAX_BODY, Room};
 use std::collections::{HashMap, HashSet, VecDeque};
@@ -15,6 +16,9 @@
 #[derive(Debug)]
 pub(crate) enum FrontWait {
     Accept(Vec<Pending>),
+    Large(Box<Large>),
+    /// The parts of a job's submission: its record, its version, and what has come.
+    Parts(Asked, Box<(LargeRecord, u64, Vec<Pair>)>),
     Compare(Vec<Asked>),
     Job(Asked),
     Final(Asked),
@@ -25,12 +29,12 @@
 /// A submission on its way.
 #[derive(Debug, Clone)]
 pub(crate) struct Pending {
-    id: RequestId,
-    spec: Submission,
-    wall: u64,
+    pub(crate) id: RequestId,
+    pub(crate) spec: Submission,
+    pub(crate) wall: u64,
     since: u64,
     /// Its place among what came and what was looked for.
-    order: u64,
+    pub(crate) order: u64,
     /// A job that it awaits is cancelled: it is accepted as cancelled.
     doomed: bool,
 }
@@ -88,6 +92,9 @@
 pub(crate) struct Front {
     queue: VecDeque<Pending>,
     flying: u32,
+    /// Submissions that go in parts, between two transactions; the jobs whose do.
+    pub(crate) large: VecDeque<Box<Large>>,
+    in_parts: HashSet<String>,
     /// Most acceptances in one transaction, fewer while the state service refuses: a large one finds
     /// its writes all at once less often than a small one.
     most: usize,
@@ -191,6 +198,8 @@
         } else if let Some(error) = Self::refusal(ctx, &spec) {
             let asked = Asked { id, job: spec.id, why: Why::Refuse(error), tries: 0 };
             self.read(ctx, asked);
+        } else if self.in_parts.contains(&spec.id) {
+            ctx.answer(id, unavailable("being written"));
         } else if spec.awaits.contains(&spec.id) {
             // It was not accepted when its user named it.
             let asked = Asked { id, job: spec.id, why: Why::Refuse(NEVER_ACCEPTED), tries: 0 };
@@ -483,6 +492,17 @@
                 ctx.answer(p.id, unavailable("too many at once"));
             }
         }
+        for large in &mut self.large {
+            if !large.told && ctx.now.mono.saturating_sub(large.p.since) > patience {
+                large.told = true;
+                ctx.answer(large.p.id, unavailable("being written"));
+            }
+        }
+        if ctx.now.mono >= self.retry_at
+            && let Some(large) = self.large.pop_front()
+        {
+            self.send_large(ctx, large);
+        }
         while self.flying < FLYING && !self.queue.is_empty() && ctx.now.mono >= self.retry_at {
             let mut batch = Vec::new();
             let mut txn = Txn { conditions: Vec::new(), writes: Vec::new() };
@@ -500,7 +520,13 @@
                 } else {
                     json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false, k: false })
                 };
-                bytes += v.to_string().len() + key.len() * 3 + 64;
+                let size = v.to_string().len();
+                if size > ctx.limits.value_bytes() {
+                    self.in_parts.insert(p.spec.id.clone());
+                    self.large.push_back(Box::new(Large::new(ctx, p)));
+                    continue;
+                }
+                bytes += size + key.len() * 3 + 64;
                 if bytes > MAX_BODY * 7 / 8 && !batch.is_empty() {
                     self.queue.push_front(p);
                     break;
@@ -541,6 +567,29 @@
                 self.flying -= 1;
                 self.accepted(ctx, batch, sent, result);
             }
+            FrontWait::Large(large) => {
+                if let Err(IoError::Throttled) = result {
+                    self.retry_at = ctx.now.mono + ctx.set.report_ms() / 60;
+                }
+                self.large_sent(ctx, large, sent, result);
+            }
+            FrontWait::Parts(asked, mut got) => match result {
+                Ok(StateReply::Page(page)) => {
+                    got.2.extend(page.pairs);
+                    if page.truncated {
+                        self.read_parts(ctx, asked, got);
+                    } else if let Some(rec) = join(&got.0, &got.2) {
+                        // Its own record was read before; who awaits it looks again.
+                        let known = Known { stamp: got.1, awaits: rec.s.awaits, open_at: 0 };
+                        self.open.insert(&asked.job, known, Self::cap(ctx));
+                        self.open_job(ctx, asked, sent, counts, leader);
+                    } else {
+                        // It ended meanwhile.
+                        self.reply(ctx, &asked, unavailable("try again"));
+                    }
+                }
+                _ => self.reply(ctx, &asked, unavailable("state service does not answer")),
+            },
             FrontWait::Compare(batch) => {
                 self.comparing -= 1;
                 match result {
@@ -581,13 +630,14 @@
             }
             FrontWait::Job(asked) => match result {
                 Ok(StateReply::Found(pair)) => {
-                    let Ok(rec) = serde_json::from_value::<JobRecord>(pair.v) else {
+                    let Some(rec) = Stored::read(pair.v) else {
                         self.reply(ctx, &asked, unavailable("record not understood"));
                         return;
                     };
-                    if rec.x {
-                        self.remember(ctx, &asked.job, JobStatus::Aborted, rec.s.pieces);
-                        let view = final_view(&asked.job, JobStatus::Aborted, rec.s.pieces);
+                    let (cancelled, pieces) = rec.cancelled();
+                    if cancelled {
+                        self.remember(ctx, &asked.job, JobStatus::Aborted, pieces);
+                        let view = final_view(&asked.job, JobStatus::Aborted, pieces);
                         self.reply(ctx, &asked, Answer::Job(200, view));
                     } else if asked.why == Why::Withdraw {
                         let key = format!("{}{}", keys::JOBS, asked.job);
@@ -597,13 +647,18 @@
                                 Condition { path: key.clone(), stamp: pair.stamp },
                                 Condition { path: cancel.clone(), stamp: 0 },
                             ],
-                            writes: vec![Write::set(key, json!(rec.into_cancelled())), Write::set(cancel, json!(true))],
+                            writes: vec![Write::set(key, rec.into_cancelled()), Write::set(cancel, json!(true))],
                         };
                         ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Withdraw(asked)));
                     } else {
-                        let known = Known { stamp: pair.stamp, awaits: rec.s.awaits, open_at: sent };
-                        self.open.insert(&asked.job, known, Self::cap(ctx));
-                        self.open_job(ctx, asked, sent, counts, leader);
+                        match rec {
+                            Stored::Whole(rec) => {
+                                let known = Known { stamp: pair.stamp, awaits: rec.s.awaits, open_at: sent };
+                                self.open.insert(&asked.job, known, Self::cap(ctx));
+                                self.open_job(ctx, asked, sent, counts, leader);
+                            }
+                            Stored::Large(rec) => self.read_parts(ctx, asked, Box::new((rec, pair.stamp, Vec::new()))),
+                        }
                     }
                 }
                 // Not among the unfinished at this moment: either finished before, and then its
@@ -661,7 +716,22 @@
         }
     }
 
-    fn accepted(&mut self, ctx: &mut Ctx, batch: Vec<Pending>, sent: u64, result: Result<StateReply, IoError>) {
+    fn read_parts(&mut self, ctx: &mut Ctx, asked: Asked, got: Box<(LargeRecord, u64, Vec<Pair>)>) {
+        let prefix = got.0.p.clone();
+        let after = got.2.last().map(|p| p.path.clone()).unwrap_or_default();
+        ctx.state(StateRequest::Scan { prefix, after }, Wait::Front(FrontWait::Parts(asked, got)));
+    }
+
+    pub(crate) fn accepted(
+        &mut self,
+        ctx: &mut Ctx,
+        batch: Vec<Pending>,
+        sent: u64,
+        result: Result<StateReply, IoError>,
+    ) {
+        for p in &batch {
+            self.in_parts.remove(&p.spec.id);
+        }
         match result {
             Ok(StateReply::Committed(ledger)) => {
                 ctx.limits.carried_out();
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -7,6 +7,7 @@
 use crate::model::*;
 use crate::node::{Ctx, Wait};
 use crate::pages::Pages;
+use crate::parts::{LargeRecord, Parts, Stored};
 use serde_json::Value;
 use shaleshunt_wire::Room;
 use shaleshunt_wire::state::{Change, Page, Pair};
@@ -33,6 +34,7 @@
     Settled(u64),
     Refresh(Id),
     End(Id),
+    Parts(Box<(LargeRecord, u64, Vec<Pair>)>),
     Orders(Id),
     Hire(String),
     Return(Vec<Id>),
@@ -83,6 +85,13 @@
     page_pairs: Vec<Pair>,
     old_looms: Vec<Pair>,
     old_done: Vec<Pair>,
+    part_pairs: Vec<Pair>,
+    large: Vec<(LargeRecord, u64)>,
+    /// Parts of jobs' submissions, those that no record refers to, and records whose parts are to be
+    /// read again at a time.
+    pub(crate) parts: BTreeMap<Id, Parts>,
+    pub(crate) dead_parts: Vec<Parts>,
+    pub(crate) parts_later: Vec<(u64, LargeRecord, u64)>,
     watch_from: Option<u64>,
     watch_at: Option<u64>,
     /// Sending time of the last watch that was answered: no withdrawal before it was missed.
@@ -181,6 +190,11 @@
             page_pairs: Vec::new(),
             old_looms: Vec::new(),
             old_done: Vec::new(),
+            part_pairs: Vec::new(),
+            large: Vec::new(),
+            parts: BTreeMap::new(),
+            dead_parts: Vec::new(),
+            parts_later: Vec::new(),
             watch_from: None,
             watch_at: None,
             fresh: now,
@@ -244,7 +258,8 @@
             commit_at: now,
         };
         l.writes = ctx.limits.rate() * ctx.tune.write_share;
-        for prefix in [keys::JOBS, keys::PAGES, keys::BLOCKS, keys::HIRES, "c/", keys::OLD_DONE, keys::OLD_LOOMS] {
+        let mine = [keys::JOBS, keys::PARTS, keys::PAGES, keys::BLOCKS, keys::HIRES, "c/"];
+        for prefix in mine.into_iter().chain([keys::OLD_DONE, keys::OLD_LOOMS]) {
             l.load(ctx, prefix, String::new());
         }
         l
@@ -269,6 +284,7 @@
         for pair in page.pairs {
             match prefix {
                 keys::JOBS => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
+                keys::PARTS => self.part_pairs.push(pair),
                 keys::PAGES => self.page_pairs.push(pair),
                 keys::BLOCKS => self.block_pairs.push(pair),
                 keys::OLD_DONE => self.old_done.push(pair),
@@ -320,6 +336,8 @@
         if self.owned_stamps.contains_key(keys::OWNED) {
             self.owned = Some(std::mem::take(&mut self.owned_parts));
         }
+        let (parts, large) = (std::mem::take(&mut self.part_pairs), std::mem::take(&mut self.large));
+        self.parts_loaded(ctx, parts, large);
         for pair in std::mem::take(&mut self.block_pairs) {
             self.block_read(ctx, pair);
         }
@@ -496,41 +514,55 @@
         if self.jobs.get(id).is_some_and(|j| j.stamp > stamp) {
             return;
         }
-        let Ok(rec) = serde_json::from_value::<JobRecord>(v) else {
+        let Some(rec) = Stored::read(v) else {
             ctx.log(Severity::Error, format!("record {path} not understood"));
             return;
         };
-        self.replan = true;
-        match self.jobs.get_mut(id) {
-            Some(job) => {
-                job.stamp = stamp;
-                job.stale = false;
-                job.cancel_key = rec.k;
-                let id = job.id.clone();
-                if rec.x && !job.aborted {
-                    job.aborted = true;
-                    self.stop_job(ctx, &id);
-                    self.cancelled(ctx, &id);
-                }
-                self.queue_write(ctx.now.mono, &id);
+        let (cancelled, _) = rec.cancelled();
+        if let Some(job) = self.jobs.get_mut(id) {
+            self.replan = true;
+            job.stamp = stamp;
+            job.stale = false;
+            job.cancel_key = match &rec {
+                Stored::Whole(r) => r.k,
+                Stored::Large(r) => r.k,
+            };
+            let id = job.id.clone();
+            if cancelled && !job.aborted {
+                job.aborted = true;
+                self.stop_job(ctx, &id);
+                self.cancelled(ctx, &id);
             }
-            None => {
-                let mut job = Job::new(rec, stamp);
-                job.image = self.image(&job.spec.bundle);
-                let (id, aborted, awaits) = (job.id.clone(), job.aborted, job.awaits());
-                self.jobs.insert(id.clone(), job);
-                self.ranks_old = true;
-                if self.active {
-                    self.link(ctx, &id);
-                    if aborted {
-                        self.cancelled(ctx, &id);
-                    } else if !awaits {
-                        self.arrived(ctx.now.mono, &id);
-                    }
-                }
-                self.queue_write(ctx.now.mono, &id);
+            self.queue_write(ctx.now.mono, &id);
+            return;
+        }
+        match rec {
+            Stored::Whole(rec) => self.record_set(ctx, *rec, stamp),
+            Stored::Large(rec) if self.active => self.read_parts(ctx, rec, stamp, Vec::new()),
+            Stored::Large(rec) => self.large.push((rec, stamp)),
+        }
+    }
+
+    /// A job that was not known has come.
+    pub(crate) fn record_set(&mut self, ctx: &mut Ctx, rec: JobRecord, stamp: u64) {
+        if self.jobs.get(rec.s.id.as_str()).is_some_and(|j| j.stamp >= stamp) {
+            return;
+        }
+        self.replan = true;
+        let mut job = Job::new(rec, stamp);
+        job.image = self.image(&job.spec.bundle);
+        let (id, aborted, awaits) = (job.id.clone(), job.aborted, job.awaits());
+        self.jobs.insert(id.clone(), job);
+        self.ranks_old = true;
+        if self.active {
+            self.link(ctx, &id);
+            if aborted {
+                self.cancelled(ctx, &id);
+            } else if !awaits {
+                self.arrived(ctx.now.mono, &id);
             }
         }
+        self.queue_write(ctx.now.mono, &id);
     }
 
     /// A job that may run has come: as much may come again.
@@ -606,6 +638,10 @@
             (LeadWait::Refresh(_), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
             (LeadWait::Refresh(id), Ok(StateReply::Missing)) => self.job_gone(ctx, &id),
             (LeadWait::Refresh(id), _) => self.refresh(ctx, id),
+            (LeadWait::Parts(got), result) => {
+                let (rec, stamp, pairs) = *got;
+                self.parts_read(ctx, rec, stamp, pairs, result);
+            }
             (LeadWait::End(id), result) => self.end_read(ctx, id, result),
             (LeadWait::Commit, result) => self.committed(ctx, result),
             (LeadWait::Settle, result) => self.settle(ctx, result),
@@ -652,6 +688,10 @@
             self.tell_state(ctx);
         }
         self.ask_ends(ctx);
+        while let Some(i) = self.parts_later.iter().position(|(at, ..)| now >= *at) {
+            let (_, rec, stamp) = self.parts_later.swap_remove(i);
+            self.read_parts(ctx, rec, stamp, Vec::new());
+        }
         self.rounds(ctx);
         if self.replan && now >= self.plan_at {
             self.replan = false;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! - [`node::Node`] is what a process runs: users' requests, leadership and, while it leads, the
 //!   scheduler.
-//! - `awaits` lets jobs wait for others; `limits` follows what the state service grants.
+//! - `awaits` lets jobs wait for others; `parts` keeps submissions that take more than a value; `limits` follows what the state service grants.
 //! - `leader` keeps what only the leader knows; `commit` writes it to the state service, the facts
 //!   about tasks on `pages`; `floor` talks to workers; `place` chooses machines; `rent` talks to the cloud.
 
@@ -19,6 +19,7 @@
 mod leader;
 mod limits;
 mod pages;
+mod parts;
 mod place;
 mod rent;
 
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -26,6 +26,8 @@
     pub const CANCELLED: &str = "l/x/";
     /// Unfinished jobs.
     pub const JOBS: &str = "j/";
+    /// Parts of submissions that take more than a value.
+    pub const PARTS: &str = "s/";
     /// Finished jobs.
     pub const FINALS: &str = "f/";
     /// Facts about unfinished jobs' tasks, on pages.
--- /dev/null
+++ b/crates/core/src/parts.rs
@@ -0,0 +1,284 @@
+//! Submissions that take more than a value of the state service. Their text goes into parts, under a
+//! prefix that is used once; the record that makes them count is written last and conditions on the
+//! first part. What no record refers to is removed, the first part before the others, so that a
+//! record which still comes finds it missing and fails.
+
+use crate::commit::Flight;
+use crate::front::{Front, FrontWait, Pending};
+use crate::io::*;
+use crate::leader::{LeadWait, Leader};
+use crate::model::*;
+use crate::node::{Ctx, Wait};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use shaleshunt_wire::MAX_BODY;
+use shaleshunt_wire::state::{Condition, Pair, Txn, Write};
+use shaleshunt_wire::user::Submission;
+use std::collections::BTreeMap;
+
+/// Record of an unfinished job whose submission is in parts.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) struct LargeRecord {
+    /// Prefix of the parts.
+    pub p: String,
+    /// Number of its tasks.
+    pub n: u32,
+    /// When it was accepted, time of day.
+    pub at: u64,
+    /// Whether it has been cancelled.
+    pub x: bool,
+    /// Whether its cancellation has a key of its own.
+    pub k: bool,
+}
+
+/// What a key of an unfinished job holds.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(untagged)]
+pub(crate) enum Stored {
+    Whole(Box<JobRecord>),
+    Large(LargeRecord),
+}
+
+impl Stored {
+    pub fn read(v: Value) -> Option<Stored> {
+        serde_json::from_value(v).ok()
+    }
+    /// Whether it is cancelled, and how many tasks it has.
+    pub fn cancelled(&self) -> (bool, u32) {
+        match self {
+            Stored::Whole(r) => (r.x, r.s.pieces),
+            Stored::Large(r) => (r.x, r.n),
+        }
+    }
+    /// The record when its user cancels it.
+    pub fn into_cancelled(self) -> Value {
+        match self {
+            Stored::Whole(r) => json!(r.into_cancelled()),
+            Stored::Large(r) => json!(LargeRecord { x: true, k: true, ..r }),
+        }
+    }
+}
+
+/// The parts under a prefix, in order, with their versions.
+pub(crate) type Parts = Vec<(String, u64)>;
+
+/// The submission that a large record's parts make up.
+pub(crate) fn join(rec: &LargeRecord, pairs: &[Pair]) -> Option<JobRecord> {
+    let text: String = pairs.iter().filter_map(|p| p.v.as_str()).collect();
+    let s: Submission = serde_json::from_str(&text).ok()?;
+    Some(JobRecord { s, at: rec.at, x: rec.x, k: rec.k })
+}
+
+/// Cuts a text so that each part, as JSON, fits into a value.
+fn cut(text: &str, most: usize) -> Vec<String> {
+    let mut parts = vec![String::new()];
+    let mut used = 2;
+    for c in text.chars() {
+        let size = match c {
+            '"' | '\\' => 2,
+            c if c.is_control() => 6,
+            c => c.len_utf8(),
+        };
+        if used + size > most {
+            parts.push(String::new());
+            used = 2;
+        }
+        used += size;
+        if let Some(last) = parts.last_mut() {
+            last.push(c);
+        }
+    }
+    parts
+}
+
+/// A large submission on its way.
+#[derive(Debug)]
+pub(crate) struct Large {
+    pub p: Pending,
+    prefix: String,
+    parts: Vec<String>,
+    /// Parts written, and the first one's version.
+    written: usize,
+    first: u64,
+    /// Parts in the transaction under way; none when it holds the record.
+    sending: usize,
+    /// Its user has been told to come back; it goes on meanwhile.
+    pub told: bool,
+}
+
+impl Large {
+    pub fn new(ctx: &Ctx, p: Pending) -> Large {
+        let text = serde_json::to_string(&p.spec).unwrap_or_default();
+        let prefix = format!("{}{}/{}-{}-{}/", keys::PARTS, p.spec.id, ctx.set.label, ctx.now.wall, p.order);
+        let parts = cut(&text, ctx.limits.value_bytes());
+        Large { p, prefix, parts, written: 0, first: 0, sending: 0, told: false }
+    }
+    fn key(&self, n: usize) -> String {
+        format!("{}{n:04}", self.prefix)
+    }
+    /// The next transaction: some parts, or the record.
+    fn txn(&mut self, ctx: &Ctx) -> Txn {
+        let mut txn = Txn { conditions: Vec::new(), writes: Vec::new() };
+        let mut bytes = 0;
+        self.sending = 0;
+        for (n, part) in self.parts.iter().enumerate().skip(self.written).take(ctx.limits.ops()) {
+            bytes += part.len() * 2 + self.prefix.len() * 2 + 100;
+            if bytes > MAX_BODY && self.sending > 0 {
+                break;
+            }
+            txn.conditions.push(Condition { path: self.key(n), stamp: 0 });
+            txn.writes.push(Write::set(self.key(n), json!(part)));
+            self.sending += 1;
+        }
+        if self.sending == 0 {
+            let key = format!("{}{}", keys::JOBS, self.p.spec.id);
+            let rec =
+                LargeRecord { p: self.prefix.clone(), n: self.p.spec.pieces, at: self.p.wall, x: false, k: false };
+            txn.conditions.push(Condition { path: key.clone(), stamp: 0 });
+            txn.conditions.push(Condition { path: format!("{}{}", keys::FINALS, self.p.spec.id), stamp: 0 });
+            txn.conditions.push(Condition { path: self.key(0), stamp: self.first });
+            txn.writes.push(Write::set(key, json!(rec)));
+        }
+        txn
+    }
+}
+
+impl Front {
+    pub(crate) fn send_large(&mut self, ctx: &mut Ctx, mut large: Box<Large>) {
+        let txn = large.txn(ctx);
+        ctx.state(StateRequest::Txn(txn), Wait::Front(FrontWait::Large(large)));
+    }
+
+    /// Some parts of a large submission, or its record, were written or not.
+    pub(crate) fn large_sent(
+        &mut self,
+        ctx: &mut Ctx,
+        mut large: Box<Large>,
+        sent: u64,
+        result: Result<StateReply, IoError>,
+    ) {
+        match result {
+            Ok(StateReply::Committed(ledger)) if large.sending > 0 => {
+                if large.written == 0 {
+                    large.first = ledger;
+                }
+                large.written += large.sending;
+                self.large.push_back(large);
+            }
+            Err(IoError::Throttled) => {
+                ctx.write_refused();
+                self.large.push_back(large);
+            }
+            Err(IoError::Rejected(_)) if ctx.limits.too_large() => {
+                let anew = Large::new(ctx, large.p);
+                self.large.push_back(Box::new(anew));
+            }
+            result => {
+                let told = large.told;
+                let mut p = large.p;
+                if told {
+                    // Nobody waits for this answer any more.
+                    p.id = 0;
+                }
+                self.accepted(ctx, vec![p], sent, result);
+            }
+        }
+    }
+}
+
+impl Leader {
+    /// Reads the parts of a job that has come.
+    pub(crate) fn read_parts(&mut self, ctx: &mut Ctx, rec: LargeRecord, stamp: u64, got: Vec<Pair>) {
+        let after = got.last().map(|p| p.path.clone()).unwrap_or_default();
+        let prefix = rec.p.clone();
+        let wait = self.wait(LeadWait::Parts(Box::new((rec, stamp, got))));
+        ctx.state(StateRequest::Scan { prefix, after }, wait);
+    }
+
+    /// Parts were read, or not: then once more.
+    pub(crate) fn parts_read(
+        &mut self,
+        ctx: &mut Ctx,
+        rec: LargeRecord,
+        stamp: u64,
+        mut got: Vec<Pair>,
+        result: Result<StateReply, IoError>,
+    ) {
+        match result {
+            Ok(StateReply::Page(page)) => {
+                got.extend(page.pairs);
+                if page.truncated {
+                    self.read_parts(ctx, rec, stamp, got);
+                } else {
+                    self.large_set(ctx, &rec, stamp, got);
+                }
+            }
+            _ => self.parts_later.push((ctx.now.mono + ctx.set.report_ms() / 12, rec, stamp)),
+        }
+    }
+
+    /// A job whose submission is in parts is known.
+    pub(crate) fn large_set(&mut self, ctx: &mut Ctx, rec: &LargeRecord, stamp: u64, got: Vec<Pair>) {
+        let Some(whole) = join(rec, &got) else {
+            ctx.log(Severity::Error, format!("parts {} not understood", rec.p));
+            return;
+        };
+        let id: Id = whole.s.id.as_str().into();
+        self.parts.insert(id, got.into_iter().map(|p| (p.path, p.stamp)).collect());
+        self.record_set(ctx, whole, stamp);
+    }
+
+    /// Sorts what was read of parts at a takeover: jobs', and what no record refers to.
+    pub(crate) fn parts_loaded(&mut self, ctx: &mut Ctx, pairs: Vec<Pair>, records: Vec<(LargeRecord, u64)>) {
+        let mut by_prefix: BTreeMap<String, Vec<Pair>> = BTreeMap::new();
+        for p in pairs {
+            let prefix = p.path.rfind('/').map(|at| p.path[..=at].to_string()).unwrap_or_default();
+            by_prefix.entry(prefix).or_default().push(p);
+        }
+        for (rec, stamp) in records {
+            match by_prefix.remove(&rec.p) {
+                Some(got) => self.large_set(ctx, &rec, stamp, got),
+                None => self.read_parts(ctx, rec, stamp, Vec::new()),
+            }
+        }
+        let keys = |got: Vec<Pair>| got.into_iter().map(|p| (p.path, p.stamp)).collect();
+        self.dead_parts.extend(by_prefix.into_values().map(keys));
+    }
+
+    /// Removes the first part of what no record refers to; the others follow alone.
+    pub(crate) fn gather_parts(&mut self, f: &mut Flight) {
+        while let Some(parts) = self.dead_parts.last()
+            && let Some((key, stamp)) = parts.first()
+        {
+            let job = key[keys::PARTS.len()..].split('/').next().unwrap_or_default();
+            if !f.takes(1, 2, 400) {
+                return;
+            }
+            f.drop_key(key.clone(), *stamp);
+            if !self.jobs.contains_key(job) {
+                f.expect_absent(format!("{}{job}", keys::JOBS));
+            }
+            f.parts.extend(self.dead_parts.pop());
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn parts_fit_into_values_and_make_up_the_text_again() {
+        let text = "a\"b\\c\u{1}ä€😀".repeat(500);
+        let parts = cut(&text, 300);
+        assert!(parts.iter().all(|p| json!(p).to_string().len() <= 300) && parts.len() > 20);
+        assert_eq!(parts.concat(), text);
+    }
+
+    #[test]
+    fn a_whole_record_and_one_in_parts_are_told_apart() {
+        let large = json!({"p": "s/wk-1/n0-5-1/", "n": 3, "at": 5, "x": true, "k": true});
+        assert!(matches!(Stored::read(large), Some(Stored::Large(r)) if r.n == 3 && r.x));
+        assert!(Stored::read(json!({"at": 5})).is_none());
+    }
+}
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -449,6 +449,10 @@
             "scatter" => s.scatter = true,
             "onezone" => s.one_zone = true,
             "awaits" => s.awaits = w.next()?.split(',').map(str::to_string).collect(),
+            "awaits-all" => {
+                let (name, n): (&str, u32) = (w.next()?, w.number()?);
+                s.awaits.extend((1..=n).map(|n| format!("{name}-{n}")));
+            }
             "late" => late = true,
             "spot" => s.borrowed = true,
             "prod" => s.urgency = Urgency::Prod,
