--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -261,6 +261,23 @@
         ]
     }
 
+    /// What production says is understood and said the same to the last byte: it refuses frames of
+    /// another version, kinds that it does not know and bytes left over.
+    #[test]
+    fn frames_of_production_are_as_they_were() {
+        let mut kinds = std::collections::BTreeSet::new();
+        for line in include_str!("../../core/testdata/production.frames").lines() {
+            let byte = |i: usize| u8::from_str_radix(&line[i..i + 2], 16).unwrap();
+            let bytes: Vec<u8> = (0..line.len()).step_by(2).map(byte).collect();
+            let frame = Frame::decode(&mut BytesMut::from(&bytes[..])).unwrap().unwrap();
+            let mut again = BytesMut::new();
+            frame.encode(&mut again);
+            assert_eq!(again, bytes);
+            kinds.insert(bytes[5]);
+        }
+        assert_eq!(kinds.into_iter().collect::<Vec<u8>>(), [1, 2, 3, 4, 5]);
+    }
+
     #[test]
     fn frames_survive_and_every_cut_or_flip_is_no_panic() {
         for frame in samples() {
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -35,6 +35,7 @@
     jobs: Vec<(Submission, u64, Option<u64>, bool)>,
     troubles: Vec<(u64, Trouble)>,
     stored: Vec<(String, serde_json::Value)>,
+    old: bool,
     completed: Vec<String>,
     until: u64,
     expects: Vec<(usize, Vec<String>)>,
@@ -92,6 +93,7 @@
             jobs: Vec::new(),
             troubles: Vec::new(),
             stored: Vec::new(),
+            old: false,
             completed: Vec::new(),
             until: 60_000,
             expects: Vec::new(),
@@ -148,6 +150,8 @@
                         s.jobs.push((Submission { id, awaits, ..spec.clone() }, at, withdraw, late));
                     }
                 }
+                "old" => s.old = true,
+                "production" => s.begin_as_production_left(),
                 "completed" => s.completed.push(w.next()?.into()),
                 "store" => {
                     let key = w.next()?.to_string();
@@ -173,6 +177,33 @@
         Ok(s)
     }
 
+    /// The store that production left; the users of its unfinished jobs are there from the beginning.
+    fn begin_as_production_left(&mut self) {
+        let text = include_str!("../../core/testdata/production.store");
+        for (key, v) in text.lines().filter_map(|l| l.split_once(' ')) {
+            let Ok(v) = serde_json::from_str::<serde_json::Value>(v) else { continue };
+            // Leases are the service's own.
+            if key == "l/lead" {
+                continue;
+            }
+            if key.starts_with("j/")
+                && let Ok(spec) = serde_json::from_value::<Submission>(v["s"].clone())
+            {
+                let cancelled = v["x"] == true;
+                self.jobs.push((spec, 100, cancelled.then_some(100), false));
+            }
+            for fact in v["e"].as_array().into_iter().flatten().filter(|f| f["d"] == true) {
+                let number = |v: &serde_json::Value| v.as_u64().unwrap_or(0);
+                for run in fact["n"].as_array().into_iter().flatten() {
+                    let pieces = number(&run[0])..number(&run[0]) + number(&run[1]);
+                    let name = fact["j"].as_str().unwrap_or_default();
+                    self.completed.extend(pieces.map(|n| format!("{name}/{n}")));
+                }
+            }
+            self.stored.push((key.into(), v));
+        }
+    }
+
     fn settings(&self, i: usize) -> Settings {
         let label = |i: usize| format!("n{i}");
         let zone = |i: usize| self.zones[i % self.zones.len()].clone();
@@ -198,6 +229,7 @@
     /// Builds the world for a seed.
     pub fn world(&self, seed: u64) -> World {
         let mut w = World::new((0..self.nodes).map(|i| self.settings(i)).collect(), seed);
+        w.old = vec![self.old; self.nodes];
         w.cloud.catalog.frames = self.frames.clone();
         w.cloud.lag_ms = 3000;
         w.state.rps = self.state_rps;
@@ -475,6 +507,11 @@
             w.word("for")?;
             Trouble::Kill(nodes, w.ms()?)
         }
+        "upgrade" => {
+            let node = w.node()?;
+            w.word("for")?;
+            Trouble::Upgrade(node, w.ms()?)
+        }
         "state-limits" => Trouble::StateLimits(limits(w)?),
         "state-down" => Trouble::StateDown(w.ms()?),
         "state-refuses" => Trouble::StateRefuses(w.node()?, w.ms()?),
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -88,6 +88,8 @@
 pub enum Trouble {
     /// Nodes end and come back after a time.
     Kill(Vec<usize>, u64),
+    /// A node ends and comes back after a time with the new version.
+    Upgrade(usize, u64),
     /// The state service is out of order for a time.
     StateDown(u64),
     /// The state service refuses one node for a time.
@@ -143,6 +145,7 @@
     fn lasts(&self) -> u64 {
         match self {
             Trouble::Kill(_, ms)
+            | Trouble::Upgrade(_, ms)
             | Trouble::StateDown(ms)
             | Trouble::StateRefuses(_, ms)
             | Trouble::Cut(_, _, ms, _)
@@ -186,6 +189,8 @@
     settings: Vec<Settings>,
     tuning: Tuning,
     nodes: Vec<Option<Node>>,
+    /// Nodes that still have the version in production.
+    pub old: Vec<bool>,
     lives: Vec<u32>,
     booted: Vec<u64>,
     /// The state service.
@@ -231,6 +236,55 @@
     pub log: Option<Vec<String>>,
 }
 
+/// What production makes of a record: it sees none of the fields that have come since, and a record in
+/// parts is none to it.
+fn without_news(v: &mut serde_json::Value) {
+    if let Some(s) = v.get_mut("s").and_then(|s| s.as_object_mut()) {
+        s.remove("awaits");
+    }
+    if let Some(rec) = v.as_object_mut() {
+        rec.remove("p");
+        if rec.contains_key("n") {
+            rec.remove("t");
+        }
+    }
+}
+
+fn as_production_reads(command: Command) -> Command {
+    use shaleshunt_core::StateReply;
+    match command {
+        Command::State(id, Ok(mut reply)) => {
+            match &mut reply {
+                StateReply::Found(pair) => without_news(&mut pair.v),
+                StateReply::Page(page) => page.pairs.iter_mut().for_each(|p| without_news(&mut p.v)),
+                StateReply::News(news) => news.news.iter_mut().filter_map(|c| c.v.as_mut()).for_each(without_news),
+                _ => {}
+            }
+            Command::State(id, Ok(reply))
+        }
+        Command::Submit(id, mut s) => {
+            s.awaits.clear();
+            Command::Submit(id, s)
+        }
+        other => other,
+    }
+}
+
+fn as_production_writes(effect: Effect) -> Effect {
+    use shaleshunt_wire::state::Write;
+    match effect {
+        Effect::State(id, StateRequest::Txn(mut txn), via) => {
+            for w in &mut txn.writes {
+                if let Write::Set { v, .. } = w {
+                    without_news(v);
+                }
+            }
+            Effect::State(id, StateRequest::Txn(txn), via)
+        }
+        other => other,
+    }
+}
+
 enum Asked {
     User(String),
     Worker(String, (u64, u64, u64)),
@@ -245,6 +299,7 @@
             settings,
             tuning: Tuning::default(),
             nodes: (0..n).map(|_| None).collect(),
+            old: vec![false; n],
             lives: vec![0; n],
             booted: vec![0; n],
             state: StateService::default(),
@@ -371,7 +426,12 @@
             What::Restart(i) => {
                 self.lives[i] += 1;
                 self.booted[i] = self.now;
-                let node = Node::new(self.settings[i].clone(), self.tuning.clone(), self.clock(i));
+                let mut settings = self.settings[i].clone();
+                if self.old[i] {
+                    // It ignores what it does not know.
+                    settings.state_next = None;
+                }
+                let node = Node::new(settings, self.tuning.clone(), self.clock(i));
                 self.nodes[i] = Some(node);
                 self.step(i, Command::Tick);
             }
@@ -604,10 +664,12 @@
             }
         }
         let clock = self.clock(i);
+        let command = if self.old[i] { as_production_reads(command) } else { command };
         let Some(node) = self.nodes[i].as_mut() else { return };
         let effects = node.step(clock, vec![command]);
         let who = (i, self.lives[i]);
         for e in effects {
+            let e = if self.old[i] { as_production_writes(e) } else { e };
             self.effect(who, e);
         }
     }
@@ -837,6 +899,10 @@
                     }
                 }
             }
+            Trouble::Upgrade(node, back) => {
+                self.old[node] = false;
+                self.begin(Trouble::Kill(vec![node], back));
+            }
             Trouble::StateDown(ms) => {
                 self.state.down = true;
                 self.state_back = now + ms;
