--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -47,6 +47,28 @@
     conflict: Vec<String>,
 }
 
+/// What was written since the last line for operators, by purpose.
+#[derive(Debug, Default)]
+pub(crate) struct Written {
+    pub transactions: u32,
+    pub ends: u32,
+    pub pages: u32,
+    pub blocks: u32,
+    pub others: u32,
+}
+
+impl Written {
+    fn count(&mut self, key: &str) {
+        let of = match key.get(..2) {
+            Some(keys::JOBS | keys::FINALS | "l/") => &mut self.ends,
+            Some(keys::PAGES) => &mut self.pages,
+            Some(keys::BLOCKS) => &mut self.blocks,
+            _ => &mut self.others,
+        };
+        *of += 1;
+    }
+}
+
 /// A transaction being put together, within the limits.
 #[derive(Debug)]
 pub(crate) struct Txn0 {
@@ -143,8 +165,14 @@
     pub(crate) fn commit(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
         // Users' submissions go first: while some wait, half of the share is left to them.
-        let part = if ctx.accepting { 0.5 } else { 1.0 };
-        let rate = ctx.limits.rate() * ctx.tune.write_share * part;
+        // While none do and work waits to be written, half of what is kept for them is used too.
+        let waits = !self.ends.is_empty() || !self.urgent.is_empty();
+        let share = match (ctx.accepting, waits) {
+            (true, _) => ctx.tune.write_share / 2.0,
+            (false, true) => (1.0 + ctx.tune.write_share) / 2.0,
+            (false, false) => ctx.tune.write_share,
+        };
+        let rate = ctx.limits.rate() * share;
         let gained = now.saturating_sub(self.writes_at) as f64 / 1000.0 * rate;
         self.writes = (self.writes + gained).min(rate.max(1.0));
         self.writes_at = now;
@@ -182,7 +210,13 @@
         let apart = (gap * 5.0).max(ctx.set.report_s * 1000.0 / 12.0);
         self.commit_at = now + if scarce { apart } else { gap } as u64;
         self.writes -= f.txn.txn.writes.len() as f64;
-        self.written = (self.written.0 + f.txn.txn.writes.len() as u32, self.written.1 + 1);
+        self.written.transactions += 1;
+        for w in &f.txn.txn.writes {
+            self.written.count(match w {
+                Write::Set { set, .. } => set,
+                Write::Drop { drop } => drop,
+            });
+        }
         let txn = f.txn.txn.clone();
         self.flight = Some(f);
         let wait = self.wait(LeadWait::Commit);
@@ -191,7 +225,7 @@
 
     fn gather(&mut self, ctx: &mut Ctx, f: &mut Flight, rate: f64) {
         let now = ctx.now.mono;
-        self.gather_blocks(ctx, f);
+        self.gather_blocks(ctx, f, rate);
         self.gather_hires(f);
         // Users wait for ends as for starts: each may take half of what there is, and what the other
         // leaves.
@@ -309,7 +343,6 @@
         let block = self.blocks.entry(n).or_default();
         (block.hall, block.owned) = (m.hall.clone(), m.owned);
         block.looms.insert(id.clone());
-        block.dirty = true;
         m.block = Some(n);
         self.dirty_blocks.insert(n);
     }
@@ -354,19 +387,29 @@
         Some((v, bytes, members))
     }
 
-    fn gather_blocks(&mut self, ctx: &Ctx, f: &mut Flight) {
+    fn gather_blocks(&mut self, ctx: &Ctx, f: &mut Flight, rate: f64) {
         let now = ctx.now.mono;
         // Images change all the time: each block is written anew now and then.
         let lease = (ctx.set.lease_s * 1000.0) as u64;
         if self.dirty_blocks.is_empty()
-            && self.writes >= ctx.limits.rate() * ctx.tune.write_share / 2.0
+            && self.writes >= rate / 2.0
             && let Some((n, _)) = self.blocks.iter().find(|(_, b)| now.saturating_sub(b.wrote) > lease * 2)
         {
             let n = *n;
             self.dirty_blocks.insert(n);
         }
+        // Machines that came are of use only when they are recorded; those that went are taken out when
+        // there is room: a new leader finds them silent and returns them once more. While other work
+        // waits, it has most of the room.
+        let most = if self.ends.is_empty() && self.urgent.is_empty() { f.txn.ops } else { f.txn.ops.div_ceil(4) };
+        if self.dirty_blocks.is_empty()
+            && self.writes >= rate / 2.0
+            && let Some(n) = self.thinned_blocks.pop_first()
+        {
+            self.dirty_blocks.insert(n);
+        }
         for n in self.dirty_blocks.clone() {
-            if f.txn.full() {
+            if f.txn.txn.writes.len() >= most {
                 break;
             }
             let Some(b) = self.blocks.get(&n) else { continue };
@@ -392,6 +435,7 @@
             f.txn.set(key, stamp, v, bytes);
             f.blocks.push((n, members));
             self.dirty_blocks.remove(&n);
+            self.thinned_blocks.remove(&n);
             if let Some(b) = self.blocks.get_mut(&n) {
                 b.wrote = now;
             }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -2,7 +2,7 @@
 //! users' changes.
 
 use crate::awaits::Stages;
-use crate::commit::Flight;
+use crate::commit::{Flight, Written};
 use crate::io::*;
 use crate::model::*;
 use crate::node::{Ctx, Wait};
@@ -110,6 +110,8 @@
     /// Blocks of machines by number, and those to be written.
     pub(crate) blocks: BTreeMap<u32, Block>,
     pub(crate) dirty_blocks: BTreeSet<u32>,
+    /// Blocks from which machines went, to be written when there is room.
+    pub(crate) thinned_blocks: BTreeSet<u32>,
     /// Jobs with plans to write, most urgent first; jobs that ended, oldest first, behind them those
     /// that are cancelled with another; jobs with outcomes, oldest first.
     pub(crate) ends: BTreeSet<(bool, u64, Id)>,
@@ -146,8 +148,7 @@
     pub(crate) plan_at: u64,
     floor_at: u64,
     told_at: u64,
-    /// Writes and transactions since the last line for operators.
-    pub(crate) written: (u32, u32),
+    pub(crate) written: Written,
     pub(crate) hires: BTreeMap<String, HireState>,
     pub(crate) hire_count: u64,
     pub(crate) owned: Option<BTreeSet<String>>,
@@ -209,6 +210,7 @@
             touches: 0,
             blocks: BTreeMap::new(),
             dirty_blocks: BTreeSet::new(),
+            thinned_blocks: BTreeSet::new(),
             ends: BTreeSet::new(),
             urgent: BTreeSet::new(),
             lazy: BTreeSet::new(),
@@ -233,7 +235,7 @@
             plan_at: now,
             floor_at: now,
             told_at: now,
-            written: (0, 0),
+            written: Written::default(),
             hires: BTreeMap::new(),
             hire_count: 0,
             owned: None,
@@ -708,12 +710,15 @@
         let waiting: u32 = self.jobs.values().filter(|j| !j.aborted).map(Job::waiting).sum();
         let used = self.looms.values().filter(|m| m.usable(ctx.now.mono, &ctx.set)).count();
         let line = format!(
-            "{} jobs, {waiting} tasks wait, {used} of {} machines usable; {} writes in {} transactions, {:.0} in hand, \
-             {} ends and {} jobs to write at once, {} later, {} pages{}",
+            "{} jobs, {waiting} tasks wait, {used} of {} machines usable; writes in {} transactions: {} for ends, \
+             {} pages, {} blocks, {} others, {:.0} in hand; {} ends and {} jobs to write at once, {} later, {} pages{}",
             self.jobs.len(),
             self.looms.len(),
-            self.written.0,
-            self.written.1,
+            self.written.transactions,
+            self.written.ends,
+            self.written.pages,
+            self.written.blocks,
+            self.written.others,
             self.writes,
             self.ends.len(),
             self.urgent.len(),
@@ -721,7 +726,7 @@
             self.pages.len(),
             if self.flight.is_some() { ", one under way" } else { "" },
         );
-        self.written = (0, 0);
+        self.written = Written::default();
         ctx.log(Severity::Debug, line);
     }
 
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -424,8 +424,6 @@
     pub looms: BTreeSet<Id>,
     /// Version of its record, 0 if there is none.
     pub stamp: u64,
-    /// Its record is to be written.
-    pub dirty: bool,
     /// When it was last written: images are noted now and then.
     pub wrote: u64,
     /// Blocks that took over some of its machines: they are stored first.
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -108,8 +108,7 @@
             self.confirming -= u32::from(m.confirms);
             if let Some(b) = m.block.and_then(|n| self.blocks.get_mut(&n)) {
                 b.looms.remove(id);
-                b.dirty = true;
-                self.dirty_blocks.extend(m.block);
+                self.thinned_blocks.extend(m.block);
             }
         }
         self.replan = true;
