--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -303,6 +303,16 @@
         let problems = parse(&bad).unwrap_err();
         assert!(problems.iter().any(|p| p.starts_with("front")), "{problems:?}");
         assert!(problems.iter().any(|p| p.starts_with("params.workers.lease_s")), "{problems:?}");
+        let (settings, _) = parse(&good).unwrap();
+        assert_eq!(settings.state_next, Some(Limits { value_kb: 2.0, txn_ops: 8, write_rps: 60.0 }));
+        // Each field is optional, and what is not named stays as it is.
+        let (settings, _) = parse(&good.replace("value_kb = 2.0\n", "").replace("txn_ops = 8\n", "")).unwrap();
+        let rest = (settings.state.value_kb, settings.state.txn_ops);
+        assert_eq!(settings.state_next.map(|n| (n.value_kb, n.txn_ops)), Some(rest));
+        let bad = good.replace("write_rps = 60.0", "write_rps = -1.0").replace("txn_ops = 8", "txn_ops = 1");
+        let problems = parse(&bad).unwrap_err();
+        assert!(problems.iter().any(|p| p.starts_with("params.state.next.write_rps")), "{problems:?}");
+        assert!(problems.iter().any(|p| p.starts_with("params.state.next.txn_ops")), "{problems:?}");
         assert!(parse("label = ").is_err());
         assert!(parse(&good.replace("report_s = 3.0", "")).unwrap_err()[0].contains("report_s"));
     }
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -149,6 +149,8 @@
 }
 
 const COME_BACK: u32 = 1;
+/// Awaited jobs of one submission that are looked at together.
+const LOOKS: usize = 64;
 const NEVER_ACCEPTED: &str = "awaits a job that was never accepted";
 const NOT_KNOWN: &str = "jobs that it awaits could not be looked at";
 /// Share of the state service's requests that reads for polls of all nodes take, and that one node's
@@ -251,7 +253,8 @@
         if doomed {
             // Whoever names a cancelled job is cancelled too, but only if all that it names was
             // accepted once.
-            unknown.retain(|job| awaits.contains(job) && !self.open.of.contains_key(job));
+            let named: HashSet<&String> = awaits.iter().collect();
+            unknown.retain(|job| named.contains(job) && !self.open.of.contains_key(job));
         }
         match unknown.is_empty() {
             false => Before::Unknown(unknown),
@@ -260,9 +263,10 @@
         }
     }
 
-    /// Has jobs looked at: compared with others if their records are known, else read.
+    /// Has jobs looked at: compared with others if their records are known, else read. Of a long list
+    /// some at a time, so that nobody waits for long behind it.
     fn look_at_jobs(&mut self, ctx: &Ctx, jobs: Vec<String>) {
-        for job in jobs {
+        for job in jobs.into_iter().take(LOOKS) {
             if !self.looking.insert(job.clone()) {
                 continue;
             }
@@ -306,6 +310,10 @@
         };
         if (std::mem::take(&mut self.looked) && now >= self.look_at) || self.held.iter().any(late) {
             let absent = std::mem::take(&mut self.absent);
+            // What is still wanted is asked for anew.
+            for job in std::mem::take(&mut self.to_read) {
+                self.looking.remove(&job);
+            }
             for h in std::mem::take(&mut self.held) {
                 let refused =
                     |p: &Pending| absent.iter().any(|(job, order)| *order > p.order && p.spec.awaits.contains(job));
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -573,9 +573,7 @@
             && let Some(j) = self.jobs.get(id)
         {
             let rec = JobRecord { s: j.spec.clone(), at: j.at, x: false, k: false };
-            let mut ghost = Job::new(rec, j.stamp);
-            ghost.needs.clear();
-            self.arrivals.push((now, ghost));
+            self.arrivals.push((now, Job::new(rec, j.stamp)));
         }
     }
 
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -325,7 +325,8 @@
 
 impl Job {
     /// A job from its record.
-    pub fn new(rec: JobRecord, stamp: u64) -> Job {
+    pub fn new(mut rec: JobRecord, stamp: u64) -> Job {
+        let awaits = std::mem::take(&mut rec.s.awaits);
         Job {
             id: rec.s.id.as_str().into(),
             need: rec.s.need(),
@@ -353,7 +354,7 @@
             failures: 0,
             not_before: 0,
             sent_out: false,
-            needs: rec.s.awaits.iter().map(|id| Id::from(id.as_str())).collect(),
+            needs: awaits.into_iter().map(Id::from).collect(),
             ready_at: rec.at,
             wanted_by: None,
             urgency: rec.s.urgency,
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -68,6 +68,14 @@
             ("\"cores\":2.0,", ""),
             ("\"shape\":\"array\"", "\"shape\":\"circle\""),
             ("\"urgency\":\"high\"", "\"urgency\":null"),
+            ("\"hall\":null", "\"awaits\":\"wk-2\""),
+            ("\"hall\":null", "\"awaits\":2"),
+            ("\"hall\":null", "\"awaits\":{\"wk-2\":1}"),
+            ("\"hall\":null", "\"awaits\":[\"wk-2\",null]"),
+            ("\"hall\":null", "\"awaits\":[[\"wk-2\"]]"),
+            ("\"hall\":null", "\"awaits\":[\"wk-2\",\"wk-\"]"),
+            ("\"hall\":null", "\"awaits\":[\"job-2\"]"),
+            ("\"hall\":null", "\"awaits\":[\"wk-2/../l/epoch\"]"),
             ("wk-1", "wk-1/../x"),
             ("wk-1", ""),
             ("{", "["),
@@ -75,6 +83,10 @@
             let body = GOOD.replacen(from, to, 1);
             assert_eq!(status(address, &post("/submissions", &body)).await, Some(400), "{to}");
         }
+        for awaits in ["null", "[]", "[\"wk-2\"]", "[\"wk-2\",\"wk-2\",\"wk-3\"]"] {
+            let body = GOOD.replacen("\"hall\":null", &format!("\"awaits\":{awaits}"), 1);
+            assert_eq!(status(address, &post("/submissions", &body)).await, Some(200), "{awaits}");
+        }
         for body in ["", "null", "[]", "\u{0}", "{\"ref\":", &"[".repeat(60_000)] {
             assert_eq!(status(address, &post("/submissions", body)).await, Some(400));
             assert_eq!(status(address, &post("/checkin", body)).await, Some(400));
@@ -123,6 +135,11 @@
         assert_eq!(fits.len(), 64 * 1024);
         assert_eq!(status(address, &post("/submissions", &fits)).await, Some(200));
         assert_eq!(status(address, &post("/submissions", &(fits + " "))).await, Some(413));
+        // A list of thousands of jobs to wait for.
+        let ids: Vec<String> = (0..4500).map(|n| format!("\"wk-{n:06}\"")).collect();
+        let long = GOOD.replacen("\"hall\":null", &format!("\"awaits\":[{}]", ids.join(",")), 1);
+        assert!(long.len() < 64 * 1024);
+        assert_eq!(status(address, &post("/submissions", &long)).await, Some(200));
         // A report with hundreds of tasks, some of states that this version does not know.
         let pieces: Vec<String> = (0..700)
             .map(|n| format!(r#"{{"piece":"wk-000412/{n}","try":{n},"status":"{}"}}"#, ["running", "resting"][n % 2]))
