--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -742,7 +742,6 @@
         }
         match result {
             Ok(StateReply::Committed(ledger)) => {
-                ctx.limits.carried_out();
                 self.most = (self.most * 2).clamp(2, ctx.limits.ops().max(2));
                 for p in batch {
                     ctx.log(Severity::Debug, format!("job {} accepted", p.spec.id));
@@ -770,7 +769,6 @@
             }
             // Not carried out: again soon, within the user's patience.
             Err(IoError::Throttled) => {
-                ctx.write_refused();
                 self.retry_at = ctx.now.mono + ctx.set.report_ms() / 60;
                 self.most = batch.len() / 2;
                 for p in batch.into_iter().rev() {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -100,7 +100,7 @@
     pub fn log(&mut self, severity: Severity, text: String) {
         self.out.push(Effect::Log(severity, text));
     }
-    /// Changes were refused as too many.
+    /// The leader's changes were refused as too many.
     pub fn write_refused(&mut self) {
         if self.limits.refused(self.now.mono, self.set.report_ms()) {
             let rate = self.limits.rate();
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -166,7 +166,6 @@
                 self.large.push_back(large);
             }
             Err(IoError::Throttled) => {
-                ctx.write_refused();
                 self.large.push_back(large);
             }
             Err(IoError::Rejected(_)) if ctx.limits.too_large() => {
