--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -10,7 +10,7 @@
 /// A transaction never shrinks below this: an end takes three changes.
 const LEAST_OPS: usize = 3;
 /// So many refusals more than grants show that the rate has fallen as was announced; without a word
-/// it takes more, since bursts of submissions press on the leader too.
+/// it takes more.
 const REFUSALS: u32 = 4;
 const REFUSALS_UNTOLD: u32 = 16;
 /// What a rate that nobody announced falls to, and rises by in a reporting interval. It falls once in
@@ -92,8 +92,8 @@
     pub fn carried_out(&mut self) {
         self.refusals = self.refusals.saturating_sub(1);
     }
-    /// The leader's changes were refused as too many, though it keeps to its share: users' submissions
-    /// come in bursts and say nothing. True if the rate is taken to have fallen.
+    /// The leader's changes were refused as too many, though it keeps to its share. True if the rate is
+    /// taken to have fallen.
     pub fn refused(&mut self, now: u64, report_ms: u64) -> bool {
         if self.fell_at > 0 && now.saturating_sub(self.fell_at) < report_ms {
             return false;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -100,9 +100,9 @@
     pub fn log(&mut self, severity: Severity, text: String) {
         self.out.push(Effect::Log(severity, text));
     }
-    /// The leader's changes were refused as too many.
+    /// The leader's changes were refused as too many. While submissions wait, it is them.
     pub fn write_refused(&mut self) {
-        if self.limits.refused(self.now.mono, self.set.report_ms()) {
+        if !self.accepting && self.limits.refused(self.now.mono, self.set.report_ms()) {
             let rate = self.limits.rate();
             self.log(Severity::Info, format!("state service grants fewer changes: {rate:.1} a second from here"));
         }
