--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -206,8 +206,8 @@
         // What becomes due meanwhile shares the next one.
         let gap = 1000.0 / (ctx.set.state_rps * ctx.tune.request_share).max(1.0);
         let scarce = self.writes < rate / 4.0;
-        // With few in hand a transaction is to be worth its page.
-        let apart = (gap * 5.0).max(ctx.set.report_s * 1000.0 / 12.0);
+        // With few in hand a transaction is to be worth its page, the more so where pages are small.
+        let apart = gap * if ctx.limits.page_bytes() < ctx.set.state.value_bytes() / 2 { 10.0 } else { 5.0 };
         self.commit_at = now + if scarce { apart } else { gap } as u64;
         self.writes -= f.txn.txn.writes.len() as f64;
         self.written.transactions += 1;
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -151,6 +151,8 @@
 const COME_BACK: u32 = 1;
 /// Awaited jobs of one submission that are looked at together.
 const LOOKS: usize = 64;
+/// More awaited jobs than this are too many to be looked at for each question.
+const MANY: usize = LOOKS * 4;
 const NEVER_ACCEPTED: &str = "awaits a job that was never accepted";
 const NOT_KNOWN: &str = "jobs that it awaits could not be looked at";
 /// Share of the state service's requests that reads for polls of all nodes take, and that one node's
@@ -215,8 +217,7 @@
 
     /// Queues a submission, unless something is to be found out about the jobs that it awaits.
     fn admit(&mut self, ctx: &mut Ctx, mut p: Pending) {
-        let fresh = ctx.now.mono.saturating_sub((ctx.set.cancel_s * 250.0) as u64).max(1);
-        match self.before(&p.spec.awaits, fresh) {
+        match self.before(&p.spec.awaits, Self::lately(ctx)).0 {
             Before::Unknown(jobs) => {
                 self.look_at_jobs(ctx, jobs);
                 self.held.push(Held::Submit(Box::new(p)));
@@ -232,8 +233,9 @@
     /// What is known of these jobs and all that they await, each seen open not before a time. For a
     /// question that is when it came: so its answer is as fresh as if the job's own record had
     /// changed with those before it, whoever leads and however long nobody did. A new job, of which
-    /// nobody was told anything yet, does with what was seen well within `cancel_s`.
-    fn before(&self, awaits: &[String], since: u64) -> Before {
+    /// nobody was told anything yet, does with what was seen well within `cancel_s`. Also says whether
+    /// there are many.
+    fn before(&self, awaits: &[String], since: u64) -> (Before, bool) {
         let mut seen: HashSet<&str> = HashSet::new();
         let mut list: Vec<&String> = awaits.iter().collect();
         let (mut unknown, mut doomed) = (Vec::new(), false);
@@ -256,13 +258,19 @@
             let named: HashSet<&String> = awaits.iter().collect();
             unknown.retain(|job| named.contains(job) && !self.open.of.contains_key(job));
         }
+        let many = seen.len() > MANY;
         match unknown.is_empty() {
-            false => Before::Unknown(unknown),
-            true if doomed => Before::Doomed,
-            true => Before::Clear,
+            false => (Before::Unknown(unknown), many),
+            true if doomed => (Before::Doomed, many),
+            true => (Before::Clear, many),
         }
     }
 
+    /// Since when what is known of awaited jobs is good enough where nothing newer was told.
+    fn lately(ctx: &Ctx) -> u64 {
+        ctx.now.mono.saturating_sub((ctx.set.cancel_s * 250.0) as u64).max(1)
+    }
+
     /// Has jobs looked at: compared with others if their records are known, else read. Of a long list
     /// some at a time, so that nobody waits for long behind it.
     fn look_at_jobs(&mut self, ctx: &Ctx, jobs: Vec<String>) {
@@ -361,7 +369,7 @@
             && let Some(known) = self.open.of.get(&asked.job)
         {
             // What it awaits is compared along with it.
-            if let Before::Unknown(jobs) = self.before(&known.awaits, ctx.now.mono) {
+            if let (Before::Unknown(jobs), _) = self.before(&known.awaits, ctx.now.mono) {
                 self.look_at_jobs(ctx, jobs);
             }
             self.polls.push_back((ctx.now.mono, asked));
@@ -432,8 +440,18 @@
         if let Some(known) = self.open.of.get(&asked.job)
             && !matches!(asked.why, Why::Look(_))
         {
-            match self.before(&known.awaits, since) {
+            // Thousands cannot all be looked at for each question. Then what was seen lately does, and a
+            // cancellation is told when it is in the job's own record: no node says it sooner.
+            let (mut found, many) = self.before(&known.awaits, since);
+            if many {
+                found = self.before(&known.awaits, since.min(Self::lately(ctx))).0;
+            }
+            match found {
                 Before::Clear => {}
+                Before::Doomed if many => {
+                    ctx.answer(asked.id, unavailable("about to be cancelled"));
+                    return;
+                }
                 // One before it was cancelled, so it never runs: that is as final as its own record
                 // will be, and every node finds the same.
                 Before::Doomed => {
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -44,6 +44,8 @@
     pub answered: BTreeMap<String, u64>,
     /// Submissions that were refused, with the status.
     pub refused: BTreeMap<String, u16>,
+    /// The longest time between two answers about a job.
+    pub longest: BTreeMap<String, u64>,
     /// Rules broken: which, when and what.
     pub broken: Vec<String>,
     /// Starts seen.
@@ -144,7 +146,9 @@
                     return;
                 };
                 self.accepted.insert(job.into());
-                self.answered.insert(job.into(), now);
+                let last = self.answered.insert(job.into(), now).unwrap_or(now);
+                let longest = self.longest.entry(job.into()).or_default();
+                *longest = now.saturating_sub(last).max(*longest);
                 let before = self.before(job);
                 let explained = |j: &str| self.asked_cancel.contains(j);
                 if self.done.contains(job) && state != JobStatus::Done
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -325,6 +325,11 @@
             let most = number(n)? as u32;
             check(w.check.starts <= most, format!("{} starts, more than {most}", w.check.starts))
         }
+        ["answered", job, "within", t] => {
+            let most = number(t)?;
+            let longest = w.check.longest.get(job).map(|ms| *ms as f64 / 1000.0);
+            check(longest.is_some_and(|s| s <= most), format!("{job} was without answer for {longest:?} s"))
+        }
         ["refused", job, status] => {
             let (have, want) = (w.check.refused.get(job), number(status)? as u16);
             check(have == Some(&want), format!("{job} answered {have:?}, not {want}"))
