--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// Room that no task takes.
+    pub fn free(&self) -> Room {
+        let mut free = self.room;
+        for t in self.tasks.values().flatten().filter(|t| t.status != PieceStatus::Exited) {
+            free.add(&t.need, -1);
+        }
+        free
+    }
+
     /// The report as of now.
     pub fn report(&mut self) -> Report {
         self.tick += 1;
