--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -339,7 +339,8 @@
         let most = ctx.limits.block_looms();
         let fits = |b: &Block| b.hall == m.hall && b.owned == m.owned && b.looms.len() < most;
         let found = self.blocks.iter().rev().find(|(_, b)| fits(b)).map(|(n, _)| *n);
-        let n = found.unwrap_or_else(|| self.blocks.last_key_value().map_or(1, |(n, _)| n + 1));
+        let n = found.unwrap_or(self.newest_block + 1);
+        self.newest_block = self.newest_block.max(n);
         let block = self.blocks.entry(n).or_default();
         (block.hall, block.owned) = (m.hall.clone(), m.owned);
         block.looms.insert(id.clone());
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -4,7 +4,7 @@
 use crate::io::*;
 use crate::leader::Leader;
 use crate::model::{FinalRecord, JobRecord, keys};
-use crate::node::{Ctx, Wait};
+use crate::node::{Ctx, Moment, Wait};
 use crate::parts::{Large, LargeRecord, Stored, join};
 use serde_json::json;
 use shaleshunt_wire::state::{Condition, Pair, Txn, Write};
@@ -67,14 +67,14 @@
     /// Jobs that it awaits, as far as they were not known to be done.
     awaits: Vec<String>,
     /// It was neither cancelled nor finished later than this.
-    open_at: u64,
+    open_at: Moment,
 }
 
 /// What waits for a look at jobs that are awaited.
 #[derive(Debug)]
 enum Held {
     Submit(Box<Pending>),
-    Ask(Asked, u64),
+    Ask(Asked, Moment),
 }
 
 /// What is known of the jobs that one awaits, directly or through others.
@@ -118,6 +118,8 @@
     absent: Vec<(String, u64)>,
     order: u64,
     finals: Remembered<(JobStatus, u32)>,
+    /// Jobs found to be cancelled that the leader, if it is here, has not been told of.
+    pub(crate) found_cancelled: Vec<String>,
     /// When to try the direct way to the state service again.
     pub probe_at: u64,
     retry_at: u64,
@@ -235,7 +237,7 @@
     /// changed with those before it, whoever leads and however long nobody did. A new job, of which
     /// nobody was told anything yet, does with what was seen well within `cancel_s`. Also says whether
     /// there are many.
-    fn before(&self, awaits: &[String], since: u64) -> (Before, bool) {
+    fn before(&self, awaits: &[String], since: Moment) -> (Before, bool) {
         let mut seen: HashSet<&str> = HashSet::new();
         let mut list: Vec<&String> = awaits.iter().collect();
         let (mut unknown, mut doomed) = (Vec::new(), false);
@@ -246,7 +248,7 @@
             match (self.finals.of.get(job), self.open.of.get(job)) {
                 (Some((JobStatus::Done, _)), _) => {}
                 (Some(_), _) => doomed = true,
-                (None, Some(k)) if k.open_at >= since => {
+                (None, Some(k)) if k.open_at.covers(since) => {
                     list.extend(&k.awaits);
                 }
                 (None, _) => unknown.push(job.clone()),
@@ -267,8 +269,8 @@
     }
 
     /// Since when what is known of awaited jobs is good enough where nothing newer was told.
-    fn lately(ctx: &Ctx) -> u64 {
-        ctx.now.mono.saturating_sub((ctx.set.cancel_s * 250.0) as u64).max(1)
+    fn lately(ctx: &Ctx) -> Moment {
+        Moment { step: 0, at: ctx.now.mono.saturating_sub((ctx.set.cancel_s * 250.0) as u64).max(1) }
     }
 
     /// Has jobs looked at: compared with others if their records are known, else read. Of a long list
@@ -310,7 +312,7 @@
         let now = ctx.now.mono;
         let patience = |h: &Held| match h {
             Held::Submit(p) => (p.since, shaleshunt_wire::SUBMIT_PATIENCE_S * 600.0),
-            Held::Ask(_, since) => (*since, shaleshunt_wire::POLL_PATIENCE_S * 600.0),
+            Held::Ask(_, since) => (since.at, shaleshunt_wire::POLL_PATIENCE_S * 600.0),
         };
         let late = |h: &Held| {
             let (since, ms) = patience(h);
@@ -369,7 +371,7 @@
             && let Some(known) = self.open.of.get(&asked.job)
         {
             // What it awaits is compared along with it.
-            if let (Before::Unknown(jobs), _) = self.before(&known.awaits, ctx.now.mono) {
+            if let (Before::Unknown(jobs), _) = self.before(&known.awaits, ctx.moment()) {
                 self.look_at_jobs(ctx, jobs);
             }
             self.polls.push_back((ctx.now.mono, asked));
@@ -436,7 +438,7 @@
 
     /// A job is as its record says: neither finished nor cancelled. If it awaits others, it is called
     /// so only when none of them is known to be cancelled.
-    fn open_job(&mut self, ctx: &mut Ctx, asked: Asked, since: u64, counts: &Counts, leader: Option<&Leader>) {
+    fn open_job(&mut self, ctx: &mut Ctx, asked: Asked, since: Moment, counts: &Counts, leader: Option<&Leader>) {
         if let Some(known) = self.open.of.get(&asked.job)
             && !matches!(asked.why, Why::Look(_))
         {
@@ -444,7 +446,8 @@
             // cancellation is told when it is in the job's own record: no node says it sooner.
             let (mut found, many) = self.before(&known.awaits, since);
             if many {
-                found = self.before(&known.awaits, since.min(Self::lately(ctx))).0;
+                let lately = Self::lately(ctx);
+                found = self.before(&known.awaits, Moment { at: since.at.min(lately.at), ..lately }).0;
             }
             match found {
                 Before::Clear => {}
@@ -499,12 +502,20 @@
         self.finals.of.get(job).map(|&(status, n)| final_view(job, status, n))
     }
 
+    /// Whether a job is known here to be cancelled.
+    pub fn is_cancelled(&self, job: &str) -> bool {
+        matches!(self.finals.of.get(job), Some((JobStatus::Aborted, _)))
+    }
+
     /// Most jobs remembered of each kind: a small share of the memory limit.
     fn cap(ctx: &Ctx) -> usize {
         (ctx.set.mem_mb * 1024.0 * 1024.0 / 100.0 / 200.0) as usize
     }
 
     fn remember(&mut self, ctx: &Ctx, job: &str, status: JobStatus, n: u32) {
+        if status == JobStatus::Aborted {
+            self.found_cancelled.push(job.to_string());
+        }
         self.finals.insert(job, (status, n), Self::cap(ctx));
     }
 
@@ -577,7 +588,7 @@
         &mut self,
         ctx: &mut Ctx,
         wait: FrontWait,
-        sent: u64,
+        sent: Moment,
         result: Result<StateReply, IoError>,
         counts: &Counts,
         leader: Option<&Leader>,
@@ -606,7 +617,7 @@
                         self.read_parts(ctx, asked, got);
                     } else if let Some(rec) = join(&got.0, &got.2) {
                         // Its own record was read before; who awaits it looks again.
-                        let known = Known { stamp: got.1, awaits: rec.s.awaits, open_at: 0 };
+                        let known = Known { stamp: got.1, awaits: rec.s.awaits, open_at: Moment::default() };
                         self.open.insert(&asked.job, known, Self::cap(ctx));
                         self.open_job(ctx, asked, sent, counts, leader);
                     } else {
@@ -622,7 +633,7 @@
                     Ok(StateReply::Committed(_)) => {
                         for asked in &batch {
                             if let Some(known) = self.open.of.get_mut(&asked.job) {
-                                known.open_at = known.open_at.max(sent);
+                                known.open_at = if sent.covers(known.open_at) { sent } else { known.open_at };
                             }
                         }
                         for asked in batch {
@@ -752,7 +763,7 @@
         &mut self,
         ctx: &mut Ctx,
         batch: Vec<Pending>,
-        sent: u64,
+        sent: Moment,
         result: Result<StateReply, IoError>,
     ) {
         for p in &batch {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -110,6 +110,9 @@
     /// Blocks of machines by number, and those to be written.
     pub(crate) blocks: BTreeMap<u32, Block>,
     pub(crate) dirty_blocks: BTreeSet<u32>,
+    /// The highest number that a block has had. None is used again: a late copy of the transaction
+    /// that began the first would be carried out.
+    pub(crate) newest_block: u32,
     /// Blocks from which machines went, to be written when there is room.
     pub(crate) thinned_blocks: BTreeSet<u32>,
     /// Jobs with plans to write, most urgent first; jobs that ended, oldest first, behind them those
@@ -210,6 +213,7 @@
             touches: 0,
             blocks: BTreeMap::new(),
             dirty_blocks: BTreeSet::new(),
+            newest_block: 0,
             thinned_blocks: BTreeSet::new(),
             ends: BTreeSet::new(),
             urgent: BTreeSet::new(),
@@ -390,6 +394,7 @@
             block.looms.insert(id.clone());
             self.looms.insert(id, m);
         }
+        self.newest_block = self.newest_block.max(n);
         self.blocks.insert(n, block);
     }
 
@@ -577,6 +582,19 @@
         }
     }
 
+    /// A user's request has shown that a job is cancelled: what runs is stopped and what has not left
+    /// never does. Its record is read for the rest.
+    pub(crate) fn known_cancelled(&mut self, ctx: &mut Ctx, job: &str) {
+        let Some(j) = self.jobs.get_mut(job).filter(|j| !j.aborted && !j.awaits()) else { return };
+        // Nothing more is placed before it has been read.
+        j.stale = true;
+        let id = j.id.clone();
+        self.stop_job(ctx, &id);
+        if self.active {
+            self.refresh(ctx, id);
+        }
+    }
+
     /// A job's record is no longer there.
     fn job_gone(&mut self, ctx: &mut Ctx, id: &str) {
         if let Some(job) = self.jobs.get_mut(id) {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -47,7 +47,11 @@
     pub out: Vec<Effect>,
     pub catalog: Option<Catalog>,
     next: RequestId,
-    waits: HashMap<RequestId, (Wait, u64)>,
+    waits: HashMap<RequestId, (Wait, Moment)>,
+    /// Batches so far.
+    step: u64,
+    /// A number that no other process of any node has.
+    pub process: u64,
     /// When the state service last answered, and when it last did not.
     pub state_ok: u64,
     pub state_bad: u64,
@@ -61,6 +65,21 @@
     pub keepers: BTreeMap<String, Keeper>,
 }
 
+/// When something came or was sent: its batch, and the time of that. The order of batches tells what
+/// was sent after a question came; two batches may have the same time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Moment {
+    pub step: u64,
+    pub at: u64,
+}
+
+impl Moment {
+    /// Whether this is no earlier than that, in both respects.
+    pub fn covers(self, since: Moment) -> bool {
+        self.step >= since.step && self.at >= since.at
+    }
+}
+
 /// What a peer said of the leases that it may keep while it does not hear the leader.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Keeper {
@@ -77,9 +96,13 @@
 impl Ctx {
     fn id(&mut self, wait: Wait) -> RequestId {
         self.next += 1;
-        self.waits.insert(self.next, (wait, self.now.mono));
+        self.waits.insert(self.next, (wait, self.moment()));
         self.next
     }
+    /// The moment of this batch: what is sent now leaves after all that it holds has come.
+    pub fn moment(&self) -> Moment {
+        Moment { step: self.step, at: self.now.mono }
+    }
     pub fn state(&mut self, request: StateRequest, wait: Wait) {
         let id = self.id(wait);
         let via = self.via.clone();
@@ -149,8 +172,6 @@
     via_at: u64,
     /// The leader's lease at the state service.
     lead_pass: Option<u64>,
-    /// Begin of this process, time of day.
-    born: u64,
     heard: Heard,
     /// Sending time of the last answered look at leadership and cancellations: none before it was
     /// missed.
@@ -166,8 +187,9 @@
 }
 
 impl Node {
-    /// A node that has just started.
-    pub fn new(set: Settings, tune: Tuning, now: Now) -> Node {
+    /// A node that has just started. `process` is a number that no other process has, of this node
+    /// or another: a restart may take less than any clock shows.
+    pub fn new(set: Settings, tune: Tuning, now: Now, process: u64) -> Node {
         let peers = set.peers.iter().map(|(label, _)| (label.clone(), PeerView::default())).collect();
         let keeper = |hall: &String| Keeper { hall: hall.clone(), ..Keeper::default() };
         let keepers = set.peers.iter().map(|(label, hall)| (label.clone(), keeper(hall))).collect();
@@ -181,6 +203,8 @@
                 catalog: None,
                 next: 0,
                 waits: HashMap::new(),
+                step: 0,
+                process,
                 state_ok: now.mono,
                 state_bad: 0,
                 via: None,
@@ -196,7 +220,6 @@
             vote_ledger: 0,
             via_at: 0,
             lead_pass: None,
-            born: now.wall,
             heard: Heard::default(),
             sighted: 0,
             cancelled: BTreeSet::new(),
@@ -212,6 +235,7 @@
     /// Works through a batch of commands; returns what is to be done.
     pub fn step(&mut self, now: Now, batch: Batch) -> Vec<Effect> {
         self.ctx.now = now;
+        self.ctx.step += 1;
         for command in batch {
             self.take(command);
         }
@@ -340,7 +364,9 @@
         if !(ours && unheard && token && report.hall == set.location && now < sure + term) {
             return None;
         }
-        let cancelled = |piece: &str| split_piece(piece).is_some_and(|(job, _)| self.cancelled.contains(job));
+        let cancelled = |piece: &str| {
+            split_piece(piece).is_some_and(|(job, _)| self.cancelled.contains(job) || self.front.is_cancelled(job))
+        };
         let halts = report
             .pieces
             .iter()
@@ -361,9 +387,10 @@
         }
         match wait {
             Wait::Front(w) => {
-                self.front.state_answer(&mut self.ctx, w, sent, result, &self.counts, self.leader.as_deref())
+                self.front.state_answer(&mut self.ctx, w, sent, result, &self.counts, self.leader.as_deref());
+                self.pass_on_cancelled();
             }
-            Wait::Vote(w) => self.vote_answer(w, sent, result),
+            Wait::Vote(w) => self.vote_answer(w, sent.at, result),
             Wait::Catalog => {
                 let found = match result {
                     Ok(StateReply::Found(pair)) => serde_json::from_value::<Catalog>(pair.v).ok(),
@@ -379,13 +406,24 @@
             }
             Wait::Lead(epoch, w) => {
                 if let Some(l) = self.leader.as_mut().filter(|l| l.epoch == epoch) {
-                    l.state_answer(&mut self.ctx, w, sent, result);
+                    l.state_answer(&mut self.ctx, w, sent.at, result);
                 }
             }
             Wait::Ignore => {}
         }
     }
 
+    /// What users' requests have shown to be cancelled is stopped at once, before the leader's own
+    /// watch tells of it: it may be refused just then.
+    fn pass_on_cancelled(&mut self) {
+        let cancelled = std::mem::take(&mut self.front.found_cancelled);
+        if let Some(l) = &mut self.leader {
+            for job in cancelled {
+                l.known_cancelled(&mut self.ctx, &job);
+            }
+        }
+    }
+
     fn got_catalog(&mut self, c: Catalog) {
         if !c.frames.is_empty() {
             self.ctx.catalog = Some(c);
@@ -518,7 +556,7 @@
             Frame::Pulse { epoch, leader, leads, state_age_ms, born, at, echo, kept_ms, waiting } => {
                 let Some(p) = self.peers.get_mut(&from) else { return };
                 *p = PeerView { heard: now, state_age_ms, pulse: (born, at), waiting };
-                let answers_us = echo.0 == self.born && echo.1 <= now;
+                let answers_us = echo.0 == self.ctx.process && echo.1 <= now;
                 if let Some(k) = self.ctx.keepers.get_mut(&from) {
                     k.heard = now;
                     k.kept = now.saturating_sub(u64::from(kept_ms));
@@ -593,7 +631,7 @@
                     leader: self.foreman.clone().unwrap_or_default(),
                     leads: self.leader.is_some(),
                     state_age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-                    born: self.born,
+                    born: self.ctx.process,
                     at: now,
                     echo,
                     kept_ms: u32::try_from(kept).unwrap_or(u32::MAX),
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -8,7 +8,7 @@
 use crate::io::*;
 use crate::leader::{LeadWait, Leader};
 use crate::model::*;
-use crate::node::{Ctx, Wait};
+use crate::node::{Ctx, Moment, Wait};
 use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use shaleshunt_wire::MAX_BODY;
@@ -109,7 +109,7 @@
 impl Large {
     pub fn new(ctx: &Ctx, p: Pending) -> Large {
         let text = serde_json::to_string(&p.spec).unwrap_or_default();
-        let prefix = format!("{}{}/{}-{}-{}/", keys::PARTS, p.spec.id, ctx.set.label, ctx.now.wall, p.order);
+        let prefix = format!("{}{}/{}-{}-{}/", keys::PARTS, p.spec.id, ctx.set.label, ctx.process, p.order);
         let parts = cut(&text, ctx.limits.value_bytes());
         Large { p, prefix, parts, written: 0, first: 0, sending: 0, told: false }
     }
@@ -154,7 +154,7 @@
         &mut self,
         ctx: &mut Ctx,
         mut large: Box<Large>,
-        sent: u64,
+        sent: Moment,
         result: Result<StateReply, IoError>,
     ) {
         match result {
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -61,6 +61,8 @@
     workers: Client,
     links: HashMap<String, Link>,
     relays: Relays,
+    /// Number of the last request passed on through a peer. It begins anywhere, so that an answer to
+    /// an earlier process, which may come just after a restart, is not taken for one to this one.
     relay_count: u64,
     cloud_budget: Budget,
     done: mpsc::Sender<Command>,
@@ -94,14 +96,14 @@
         .map(|(label, address)| (label.clone(), peers::dial(settings.label.clone(), address.clone(), patience)))
         .collect();
     let began = Instant::now();
-    let mut node = Node::new(settings.clone(), tuning, now(began));
+    let mut node = Node::new(settings.clone(), tuning, now(began), rand::random());
     let mut hands = Hands {
         state: Client::new(&sockets, sockets.state(), patience),
         cloud: Client::new(&sockets, sockets.cloud(), patience),
         workers: Client::new(&sockets, sockets.calls(), patience / 2),
         links,
         relays: Relays::default(),
-        relay_count: 0,
+        relay_count: rand::random(),
         cloud_budget: Budget::new(settings.cloud_rps * 0.9),
         done,
         asked: HashMap::new(),
@@ -256,7 +258,7 @@
         let patience = self.patience + hold(&request);
         let link = via.and_then(|peer| self.links.get(&peer).cloned());
         if let Some(link) = link {
-            self.relay_count += 1;
+            self.relay_count = self.relay_count.wrapping_add(1);
             let (number, relays) = (self.relay_count, self.relays.clone());
             tokio::task::spawn_local(async move {
                 let (tell, told) = oneshot::channel();
