--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -76,7 +76,13 @@
         }
     };
     let local = tokio::task::LocalSet::new();
-    let node = shaleshunt_net::run(loaded.settings, loaded.tuning, loaded.wiring);
+    // The loop is one task among those of the connections: what they bring is taken in the same turn of the
+    // scheduler. As the outermost future it would be polled only after another look for input, a system
+    // call for each request.
+    let node = async {
+        let node = shaleshunt_net::run(loaded.settings, loaded.tuning, loaded.wiring);
+        tokio::task::spawn_local(node).await.map_err(std::io::Error::other)?
+    };
     match local.block_on(&runtime, node) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -234,11 +234,21 @@
 
     /// Works through a batch of commands; returns what is to be done.
     pub fn step(&mut self, now: Now, batch: Batch) -> Vec<Effect> {
-        self.ctx.now = now;
-        self.ctx.step += 1;
+        self.begin(now);
         for command in batch {
             self.take(command);
         }
+        self.finish()
+    }
+
+    /// Begins a batch; [`Node::take`] and [`Node::finish`] are its other parts, for who measures them.
+    pub fn begin(&mut self, now: Now) {
+        self.ctx.now = now;
+        self.ctx.step += 1;
+    }
+
+    /// Ends a batch: what is due by time, and all that is to be done.
+    pub fn finish(&mut self) -> Vec<Effect> {
         self.turn();
         std::mem::take(&mut self.ctx.out)
     }
@@ -248,7 +258,8 @@
         self.leader.as_ref().is_some_and(|l| l.active)
     }
 
-    fn take(&mut self, command: Command) {
+    /// Takes in one command of a batch.
+    pub fn take(&mut self, command: Command) {
         match command {
             Command::Submit(id, s) => self.front.submit(&mut self.ctx, id, *s),
             Command::Status(id, job) => self.front.status(&mut self.ctx, id, job),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! that hands batches to the owner and carries out its effects.
 
 pub mod client;
+pub mod meter;
 pub mod outside;
 pub mod peers;
 pub mod server;
@@ -113,6 +114,7 @@
     };
     let unused = Duration::from_secs_f64(hands.me.lease_s);
     let mut tidied = Instant::now();
+    let mut meter = meter::Meter::new();
     let mut asks_taken: RequestId = 1 << 63;
     let mut tick = tokio::time::interval(report.div_f64(60.0));
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
@@ -149,8 +151,15 @@
                 Ask::Checkin(r) => Command::Checkin(asks_taken, r),
             });
         }
-        for effect in node.step(now(began), batch) {
-            hands.carry_out(effect);
+        node.begin(now(began));
+        for command in batch {
+            meter.time(meter::command(&command), || node.take(command));
+        }
+        for effect in meter.time("due", || node.finish()) {
+            meter.time(meter::effect(&effect), || hands.carry_out(effect));
+        }
+        if let Some(line) = meter.line(report) {
+            tracing::debug!("{}: {line}", hands.me.label);
         }
         if tidied.elapsed() > report / 10 {
             tidied = Instant::now();
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -33,6 +33,8 @@
     /// Time in which a cancelled job must be gone.
     pub cancel_ms: u64,
     on: BTreeMap<String, Vec<(String, u64, Place)>>,
+    /// CPUs of teams' tasks on machines, in thousandths.
+    used: BTreeMap<String, i64>,
     /// Tasks completed.
     pub completed: BTreeSet<String>,
     /// Jobs accepted, and when a user was first told so.
@@ -73,8 +75,15 @@
         match event {
             Event::On(piece, attempt) => self.started(now, loom, place, piece, *attempt),
             Event::Off(piece, attempt) => {
-                if let Some(list) = self.on.get_mut(piece) {
-                    list.retain(|(l, a, _)| l != loom || a != attempt);
+                let Some(list) = self.on.get_mut(piece) else { return };
+                let before = list.len();
+                list.retain(|(l, a, _)| l != loom || a != attempt);
+                let gone = (before - list.len()) as i64;
+                if list.is_empty() {
+                    self.on.remove(piece);
+                }
+                if let Some(s) = split_piece(piece).and_then(|(job, _)| self.jobs.get(job)) {
+                    *self.used.entry(s.crew.clone()).or_default() -= to_milli(s.cores) * gone;
                 }
             }
             Event::Completed(piece) => {
@@ -105,12 +114,7 @@
                 self.break_rule(now, "too_early", &format!("{piece} starts before {need} is done"));
             }
         }
-        let mates: Vec<Place> = self
-            .on
-            .iter()
-            .filter(|(p, _)| split_piece(p).is_some_and(|(j, _)| j == job))
-            .flat_map(|(_, l)| l.iter().map(|(_, _, p)| p.clone()))
-            .collect();
+        let mates: Vec<Place> = self.tasks_on(job).flat_map(|l| l.iter().map(|(_, _, p)| p.clone())).collect();
         let same_zone = mates.iter().filter(|m| m.hall == place.hall).count() as u32 + 1;
         let wrong = spec.frames.as_ref().is_some_and(|f| !f.contains(&place.frame))
             || spec.hall.as_ref().is_some_and(|h| *h != place.hall)
@@ -121,6 +125,7 @@
             self.break_rule(now, "wrong_place", &format!("{piece} starts on {loom}"));
         }
         self.on.entry(piece.into()).or_default().push((loom.into(), attempt, place.clone()));
+        *self.used.entry(spec.crew.clone()).or_default() += to_milli(spec.cores);
         let limit = self.limits.get(&spec.crew).copied().unwrap_or(0.0);
         let used = self.used(&spec.crew);
         if limit > 0.0 && used > to_milli(limit) {
@@ -256,16 +261,19 @@
 
     /// CPUs of a team's tasks on machines, in thousandths.
     pub fn used(&self, crew: &str) -> i64 {
-        let specs = self
-            .on
-            .iter()
-            .filter_map(|(p, l)| split_piece(p).and_then(|(j, _)| self.jobs.get(j)).map(|s| (s, l.len() as i64)));
-        specs.filter(|(s, _)| s.crew == crew).map(|(s, n)| to_milli(s.cores) * n).sum()
+        self.used.get(crew).copied().unwrap_or(0)
+    }
+
+    /// A job's tasks that are on machines.
+    fn tasks_on(&self, job: &str) -> impl Iterator<Item = &Vec<(String, u64, Place)>> {
+        let first = format!("{job}/");
+        let end = format!("{job}0");
+        self.on.range(first..end).map(|(_, l)| l)
     }
 
     /// How many of a job's tasks are on machines now.
     pub fn running(&self, job: &str) -> usize {
-        self.on.iter().filter(|(p, _)| split_piece(p).is_some_and(|(j, _)| j == job)).map(|(_, l)| l.len()).sum()
+        self.tasks_on(job).map(Vec::len).sum()
     }
 
     /// Whether a user was told that a job is done.
