--- /dev/null
+++ b/crates/cli/src/settings/tests.rs
@@ -0,0 +1,46 @@
+use super::*;
+
+fn repo(path: &str) -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(path)
+}
+
+#[test]
+fn sample_properties_list_every_key_with_its_default() {
+    let bytes = std::fs::read(repo("deploy/shaleshunt.properties")).unwrap();
+    let mut problems = Vec::new();
+    assert_eq!(parse_properties(&bytes, &mut problems), Tuning::default());
+    assert!(problems.is_empty(), "{problems:?}");
+    let keys: std::collections::BTreeSet<String> = java_properties::read(&bytes[..]).unwrap().into_keys().collect();
+    let known = Tuning::default().entries().into_iter().map(|e| e.0.to_string()).collect();
+    assert_eq!(keys, known);
+}
+
+#[test]
+fn properties_that_are_wrong_are_named() {
+    let mut problems = Vec::new();
+    parse_properties(b"rent.round-s=NaN\nno.such=1\nrent.idle-s=-3\nrent.plain-wait-s = 5\n", &mut problems);
+    assert_eq!(problems.len(), 3, "{problems:?}");
+    assert!(problems.iter().any(|p| p.starts_with("no.such")));
+}
+
+#[test]
+fn settings_are_checked_field_by_field() {
+    let good = std::fs::read_to_string(repo("examples/settings.toml")).unwrap();
+    assert!(parse(&good).is_ok());
+    let bad = good.replace("lease_s = 30.0", "lease_s = 2.0").replace("127.0.0.1:8080", "nowhere");
+    let problems = parse(&bad).unwrap_err();
+    assert!(problems.iter().any(|p| p.starts_with("front")), "{problems:?}");
+    assert!(problems.iter().any(|p| p.starts_with("params.workers.lease_s")), "{problems:?}");
+    let (settings, _) = parse(&good).unwrap();
+    assert_eq!(settings.state_next, Some(Limits { value_kb: 2.0, txn_ops: 8, write_rps: 60.0 }));
+    // Each field is optional, and what is not named stays as it is.
+    let (settings, _) = parse(&good.replace("value_kb = 2.0\n", "").replace("txn_ops = 8\n", "")).unwrap();
+    let rest = (settings.state.value_kb, settings.state.txn_ops);
+    assert_eq!(settings.state_next.map(|n| (n.value_kb, n.txn_ops)), Some(rest));
+    let bad = good.replace("write_rps = 60.0", "write_rps = -1.0").replace("txn_ops = 8", "txn_ops = 1");
+    let problems = parse(&bad).unwrap_err();
+    assert!(problems.iter().any(|p| p.starts_with("params.state.next.write_rps")), "{problems:?}");
+    assert!(problems.iter().any(|p| p.starts_with("params.state.next.txn_ops")), "{problems:?}");
+    assert!(parse("label = ").is_err());
+    assert!(parse(&good.replace("report_s = 3.0", "")).unwrap_err()[0].contains("report_s"));
+}
--- /dev/null
+++ b/crates/net/tests/relays.rs
@@ -0,0 +1,105 @@
+//! A node that the state service refuses alone passes its requests through a peer. A process that is back at
+//! once must not take a late answer to its predecessor's request for one to its own: the first version
+//! numbered them from 1 in each process.
+
+use bytes::BytesMut;
+use shaleshunt_core::{Settings, Tuning};
+use shaleshunt_net::{Wiring, run};
+use shaleshunt_peer::Frame;
+use std::collections::BTreeSet;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+fn settings() -> Settings {
+    Settings {
+        label: "n0".into(),
+        location: "a".into(),
+        peers: vec![("n1".into(), "b".into())],
+        zones: vec!["a".into(), "b".into()],
+        report_s: 0.5,
+        lease_s: 5.0,
+        cancel_s: 10.0,
+        state_rps: 200.0,
+        cloud_rps: 5.0,
+        list_lag_s: 1.0,
+        mem_mb: 128.0,
+        ..Settings::default()
+    }
+}
+
+/// The numbers of the first requests that one process passes through the peer.
+async fn relayed(state: &str, peer: &TcpListener, back: &str) -> BTreeSet<u64> {
+    let wiring = Wiring {
+        front: "127.0.0.1:0".into(),
+        back: back.into(),
+        peers: vec![("n1".into(), peer.local_addr().unwrap().to_string())],
+        state: state.into(),
+        cloud: state.into(),
+        sockets: 1000,
+    };
+    let node = tokio::task::spawn_local(run(settings(), Tuning::default(), wiring));
+    // The peer says again and again that it is served.
+    let address = back.to_string();
+    let talk = tokio::task::spawn_local(async move {
+        let mut stream = loop {
+            match TcpStream::connect(&address).await {
+                Ok(stream) => break stream,
+                Err(_) => tokio::time::sleep(std::time::Duration::from_millis(10)).await,
+            }
+        };
+        let mut buf = BytesMut::new();
+        Frame::Hello { node: "n1".into() }.encode(&mut buf);
+        loop {
+            Frame::Pulse {
+                epoch: 0,
+                leader: String::new(),
+                leads: false,
+                state_age_ms: 0,
+                born: 9,
+                at: 1,
+                echo: (0, 0),
+                kept_ms: 0,
+                waiting: 0,
+            }
+            .encode(&mut buf);
+            if stream.write_all(&buf).await.is_err() {
+                return;
+            }
+            buf.clear();
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+    });
+    let (mut stream, _) = peer.accept().await.unwrap();
+    let (mut buf, mut found) = (BytesMut::new(), BTreeSet::new());
+    while found.len() < 3 {
+        while let Ok(Some(frame)) = Frame::decode(&mut buf) {
+            if let Frame::Relay { id, .. } = frame {
+                found.insert(id);
+            }
+        }
+        assert!(stream.read_buf(&mut buf).await.unwrap() > 0, "the node has closed its link");
+    }
+    node.abort();
+    talk.abort();
+    found
+}
+
+#[test]
+fn no_two_processes_give_their_requests_the_same_numbers() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        // Nobody listens where the state service should be.
+        let free = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let state = free.local_addr().unwrap().to_string();
+        drop(free);
+        let peer = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let mut back = Vec::new();
+        for _ in 0..2 {
+            let l = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            back.push(l.local_addr().unwrap().to_string());
+        }
+        let first = relayed(&state, &peer, &back[0]).await;
+        let second = relayed(&state, &peer, &back[1]).await;
+        assert!(first.is_disjoint(&second), "{first:?} and {second:?}");
+    });
+}
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -370,6 +370,10 @@
             let most = number(n)? as u64;
             check(w.epoch() <= most, format!("epoch {}, more than {most}", w.epoch()))
         }
+        ["calls", "at-most", n] => {
+            let most = number(n)? as u32;
+            check(w.calls <= most, format!("{} calls to machines, more than {most}", w.calls))
+        }
         ["silent-zones", n] => {
             let want = number(n)? as u32;
             check(w.zones_silent == want, format!("{} zones taken for cut off, not {want}", w.zones_silent))
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -290,6 +290,8 @@
     warned: BTreeMap<String, u64>,
     /// When the last trouble so far is over.
     calm: u64,
+    /// Direct calls to machines that nodes have made.
+    pub calls: u32,
     /// How often a leader took a zone for cut off.
     pub zones_silent: u32,
     /// Log lines, if wanted.
@@ -402,6 +404,7 @@
             broken: BTreeSet::new(),
             warned: BTreeMap::new(),
             calm: 0,
+            calls: 0,
             zones_silent: 0,
             log: None,
         };
@@ -969,6 +972,7 @@
                 }
             }
             Effect::Orders(id, to, orders) => {
+                self.calls += 1;
                 self.open.insert((who, id));
                 if now < self.no_calls {
                     self.at(now + patience, What::ToNode(who, Command::Orders(id, Err(IoError::Busy))));
--- /dev/null
+++ b/crates/testkit/tests/cancelled_here.rs
@@ -0,0 +1,174 @@
+//! A node that leads and confirms a cancellation itself stops the job's tasks at once, though its watch
+//! brings nothing: the state service may refuse that just then.
+
+use shaleshunt_core::io::{Answer, Command, Effect, OrdersReply};
+use shaleshunt_core::settings::{Limits, Team};
+use shaleshunt_core::{Node, Now, Settings, StateRequest, Tuning};
+use shaleshunt_testkit::cloud::Cloud;
+use shaleshunt_testkit::state::StateService;
+use shaleshunt_wire::user::{JobStatus, Submission};
+use shaleshunt_wire::worker::{Order, Orders, PieceReport, PieceStatus, Report};
+use std::collections::BTreeMap;
+
+struct Play {
+    node: Node,
+    state: StateService,
+    cloud: Cloud,
+    now: u64,
+    watch: bool,
+    answers: BTreeMap<u64, Answer>,
+    orders: Vec<Order>,
+    tick: u64,
+    baton: u64,
+    pieces: Vec<PieceReport>,
+}
+
+impl Play {
+    fn new() -> Play {
+        let limits = Limits { value_kb: 16.0, txn_ops: 24, write_rps: 90.0 };
+        let settings = Settings {
+            label: "n0".into(),
+            location: "a".into(),
+            zones: vec!["a".into()],
+            teams: BTreeMap::from([("t".to_string(), Team::default())]),
+            report_s: 5.0,
+            lease_s: 27.0,
+            cancel_s: 52.0,
+            state_rps: 250.0,
+            state: limits.clone(),
+            cloud_rps: 6.0,
+            list_lag_s: 3.0,
+            mem_mb: 158.0,
+            ..Settings::default()
+        };
+        let mut cloud = Cloud::default();
+        cloud.catalog.frames = serde_json::from_str(
+            r#"[{"name":"f","cores":16.0,"cards":0.0,"ramGb":64.0,"localGb":50.0,"fetchGbPerS":0.5,"price":2.0,
+            "marketPrice":0.5,"bootS":20.0,"halls":["a"]}]"#,
+        )
+        .unwrap();
+        cloud.give(0, "f", "a", false, Some(0));
+        let node = Node::new(settings, Tuning::default(), Now { mono: 1, wall: 1_700_000_000_000 }, 7);
+        let mut state = StateService::default();
+        state.limits = limits;
+        Play {
+            node,
+            state,
+            cloud,
+            now: 1,
+            watch: true,
+            answers: BTreeMap::new(),
+            orders: Vec::new(),
+            tick: 0,
+            baton: 0,
+            pieces: Vec::new(),
+        }
+    }
+
+    fn tell(&mut self, command: Command) {
+        let mut commands = vec![command];
+        while !commands.is_empty() {
+            let time = Now { mono: self.now, wall: 1_700_000_000_000 + self.now };
+            for effect in self.node.step(time, std::mem::take(&mut commands)) {
+                match effect {
+                    Effect::State(_, StateRequest::Watch { .. }, _) if !self.watch => {}
+                    Effect::State(id, request, _) => {
+                        let answer = self.state.handle(self.now, (0, 1), id, request);
+                        commands.extend(answer.map(|a| Command::State(id, a)));
+                    }
+                    Effect::Cloud(id, request) => {
+                        let (answer, _) = self.cloud.handle(self.now, request);
+                        commands.push(Command::Cloud(id, answer));
+                    }
+                    Effect::Orders(id, _, orders) => {
+                        let report = self.carry_out(orders);
+                        commands.push(Command::Orders(id, Ok(OrdersReply::Executed(report))));
+                    }
+                    Effect::Answer(id, answer) => {
+                        self.answers.insert(id, answer);
+                    }
+                    Effect::Peer(..) | Effect::Log(..) => {}
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.now += 20;
+            for (_, id, reply) in self.state.turn(self.now) {
+                if self.watch {
+                    self.tell(Command::State(id, Ok(reply)));
+                }
+            }
+            self.tell(Command::Tick);
+        }
+    }
+
+    /// The one machine: what it is told to run runs on.
+    fn carry_out(&mut self, orders: Orders) -> Report {
+        self.baton = self.baton.max(orders.baton);
+        for order in &orders.orders {
+            match order.clone() {
+                Order::Run { piece, attempt } => {
+                    let status = PieceStatus::Running;
+                    self.pieces.push(PieceReport { piece, attempt, status, cause: None, stored: None });
+                }
+                Order::Halt { piece, .. } => self.pieces.retain(|p| p.piece != piece),
+                Order::Forget { .. } => {}
+            }
+        }
+        self.orders.extend(orders.orders);
+        self.report()
+    }
+
+    fn report(&mut self) -> Report {
+        self.tick += 1;
+        Report {
+            loom: "vm-000001".into(),
+            endpoint: "m1".into(),
+            frame: "f".into(),
+            hall: "a".into(),
+            borrowed: false,
+            shift: 1,
+            tick: self.tick,
+            baton: self.baton,
+            warn_s: None,
+            pieces: self.pieces.clone(),
+        }
+    }
+
+    fn check_in(&mut self, id: u64) {
+        let report = self.report();
+        self.tell(Command::Checkin(id, Box::new(report)));
+        let Some(Answer::Report(reply)) = self.answers.get(&id) else { panic!("{:?}", self.answers.get(&id)) };
+        self.baton = self.baton.max(reply.baton);
+    }
+
+    fn halts(&self) -> usize {
+        self.orders.iter().filter(|o| matches!(o, Order::Halt { .. })).count()
+    }
+}
+
+const JOB: &str = r#"{"ref":"wk-1","jobline":"x","crew":"t","shape":"array","urgency":"high","pieces":2,"cores":2.0,
+"cards":0.0,"ramGb":1.0,"bundle":"i","imageGb":1.0,"oneZone":false,"scatter":false,"borrowed":false,
+"expectS":100.0,"markEveryS":0.0,"markTakesS":0.0}"#;
+
+#[test]
+fn a_confirmed_cancellation_stops_tasks_without_the_watch() {
+    let mut p = Play::new();
+    p.pass(1000);
+    assert!(p.node.leads());
+    p.check_in(1);
+    p.check_in(2);
+    p.pass(1000);
+    p.tell(Command::Submit(3, Box::new(Submission::parse(JOB.as_bytes()).unwrap())));
+    p.pass(1000);
+    assert_eq!((p.pieces.len(), p.halts()), (2, 0), "both tasks run: {:?}", p.orders);
+    p.watch = false;
+    p.pass(1000);
+    p.tell(Command::Withdraw(5, "wk-1".into()));
+    let told = matches!(p.answers.get(&5), Some(Answer::Job(200, v)) if v.status == JobStatus::Aborted);
+    assert!(told, "{:?}", p.answers.get(&5));
+    assert_eq!(p.halts(), 2, "{:?}", p.orders);
+}
--- a/crates/testkit/tests/checker.rs
+++ b/crates/testkit/tests/checker.rs
@@ -74,3 +74,58 @@
     c.silence(77_001, 2_000, "wk-1");
     assert!(found(&c, "forgotten"), "no answer for 75 s");
 }
+
+/// Each of the later checks, broken on purpose, beside a history that only looks like it.
+#[test]
+fn answers_are_judged_by_when_their_questions_were_asked() {
+    // Asked before another answer had been given: may be older than that.
+    let (mut c, _) = checker();
+    c.told(10, 5, "wk-1", 201, Some(JobStatus::Queued));
+    c.told(12, 9, "wk-1", 404, None);
+    assert!(c.broken.is_empty());
+    c.told(14, 11, "wk-1", 404, None);
+    assert!(found(&c, "forgotten"));
+
+    let (mut c, _) = checker();
+    c.asks_cancel("wk-1");
+    c.told(10, 5, "wk-1", 200, Some(JobStatus::Aborted));
+    c.told(12, 9, "wk-1", 200, Some(JobStatus::Running));
+    assert!(c.broken.is_empty());
+    c.told(14, 11, "wk-1", 200, Some(JobStatus::Queued));
+    assert!(found(&c, "went_back"));
+
+    // Final states never differ, whoever asked first.
+    let (mut c, _) = checker();
+    c.asks_cancel("wk-1");
+    c.told(10, 5, "wk-1", 200, Some(JobStatus::Aborted));
+    c.completed.extend(["wk-1/0".to_string(), "wk-1/1".to_string()]);
+    c.told(10, 4, "wk-1", 200, Some(JobStatus::Done));
+    assert!(found(&c, "went_back"));
+}
+
+#[test]
+fn starts_after_a_cancellation_are_counted_and_waiting_jobs_found() {
+    let (mut c, place) = checker();
+    c.asks_cancel("wk-1");
+    c.machine(5, "vm-1", &place, &Event::On("wk-1/0".into(), 1));
+    c.told(10, 5, "wk-1", 200, Some(JobStatus::Aborted));
+    assert_eq!(c.late_starts, (0, 0));
+    c.machine(35, "vm-1", &Place { hall: "b".into(), ..place.clone() }, &Event::On("wk-1/1".into(), 1));
+    assert_eq!(c.late_starts, (1, 25));
+    assert_eq!(c.used("t"), 4000);
+    c.machine(36, "vm-1", &place, &Event::Off("wk-1/1".into(), 1));
+    assert_eq!((c.used("t"), c.running("wk-1")), (2000, 1));
+
+    // Left waiting: without a break, and only from when all is calm.
+    let (mut c, _) = checker();
+    for t in 0..=90 {
+        c.left_waiting(t * 1000, 0, "wk-1", t != 50);
+    }
+    assert!(c.broken.is_empty(), "there was no room in between");
+    for t in 91..=145 {
+        c.left_waiting(t * 1000, 60_000, "wk-1", true);
+    }
+    assert!(c.broken.is_empty(), "not for long enough");
+    c.left_waiting(151_001, 60_000, "wk-1", true);
+    assert!(found(&c, "left_waiting"));
+}
