--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -7,6 +7,9 @@
 use shaleshunt_wire::{CONDITIONS_PER_WRITE, MAX_BODY};
 use std::collections::BTreeMap;
 
+/// Keys on a page in the scenarios.
+const SMALL_PAGE: usize = 8;
+
 /// A watch that waits.
 #[derive(Debug)]
 pub struct Watch {
@@ -27,6 +30,8 @@
     pub limits: Limits,
     wrote: f64,
     wrote_at: u64,
+    /// Most keys on a page; 0 for the small pages of the scenarios, so that paging is played.
+    pub page_size: usize,
     /// Requests that were called wrong, for the scenarios to count.
     pub rejected: u32,
     keys: BTreeMap<String, (Value, u64, Option<u64>)>,
@@ -72,12 +77,12 @@
             }),
             StateRequest::Scan { prefix, after } => {
                 let all = self.keys.iter().filter(|(k, _)| k.starts_with(&prefix) && **k > after);
-                // Small pages, so that paging is played.
+                let size = if self.page_size > 0 { self.page_size } else { SMALL_PAGE };
                 let mut pairs: Vec<Pair> = all
-                    .take(8)
+                    .take(size)
                     .map(|(k, (v, stamp, pass))| Pair { path: k.clone(), v: v.clone(), stamp: *stamp, pass: *pass })
                     .collect();
-                let truncated = pairs.len() == 8;
+                let truncated = pairs.len() == size;
                 if truncated {
                     pairs.pop();
                 }
