A pass looks at no machines for jobs that need more than one that found none

Cause (perf, real binary on loopback in overload): 27% of the processor time was passes over the queue, of that half the search for less urgent work to stop. Jobs of one class differ in their need, so nearly each looked at all machines anew. Now one that needs as much or more, of machines that a full one may use too, is passed over; and placements on a machine are sorted only if stopping all that may be stopped makes room.

--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -12,7 +12,7 @@
 use shaleshunt_wire::Room;
 use shaleshunt_wire::user::Urgency;
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::ops::Bound;
 
 /// Most tasks stopped for others in one pass.
@@ -25,7 +25,37 @@
 type Fit = (bool, (u8, u8), bool, i64);
 
 /// What decides, zone rules aside, which machines a task may use.
-type Kind = (Room, bool, Option<String>, Option<Vec<String>>);
+#[derive(Debug)]
+struct Demand {
+    need: Room,
+    spot: bool,
+    zone: Option<String>,
+    machine_types: Option<Vec<String>>,
+    service: bool,
+}
+
+impl Demand {
+    fn of(job: &Job) -> Demand {
+        Demand {
+            need: job.need,
+            spot: job.spec.borrowed,
+            zone: job.spec.hall.clone(),
+            machine_types: job.spec.frames.clone(),
+            service: job.is_service(),
+        }
+    }
+
+    /// Whether no machine has room for a task of `job` if none has for this: it needs as much or more,
+    /// of machines that this may use too.
+    fn includes(&self, job: &Job) -> bool {
+        let spec = &job.spec;
+        job.need.fits(&self.need)
+            && (self.spot || !spec.borrowed)
+            && (self.service || !job.is_service())
+            && (self.zone.is_none() || self.zone == spec.hall)
+            && (self.machine_types.is_none() || self.machine_types == spec.frames)
+    }
+}
 
 impl Leader {
     /// Estimated run time of a job's task: the owner's, corrected by what its class did.
@@ -252,7 +282,7 @@
         let now = ctx.now.mono;
         let queue = self.queue(ctx);
         // What found no room once finds none again in this pass.
-        let mut full: Vec<Kind> = Vec::new();
+        let mut full: Vec<Demand> = Vec::new();
         let mut stops = PREEMPTIONS;
         for id in queue {
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -270,12 +300,13 @@
             if most == 0 {
                 continue;
             }
-            let s = &job.spec;
-            let kind = (job.need, s.borrowed, s.hall.clone(), s.frames.clone());
-            let free_choice = !s.one_zone && !s.scatter;
-            let seats = if full.contains(&kind) { Vec::new() } else { self.seats(ctx, job, most, None) };
-            if (seats.len() as u32) < most && free_choice && !full.contains(&kind) {
-                full.push(kind);
+            let known_full = full.iter().any(|demand| demand.includes(job));
+            let seats = if known_full { Vec::new() } else { self.seats(ctx, job, most, None) };
+            let free_choice = !job.spec.one_zone && !job.spec.scatter;
+            // A job that keeps off machines where it failed says nothing about those.
+            let unrestricted = free_choice && job.failed_on.is_empty();
+            if !known_full && unrestricted && (seats.len() as u32) < most {
+                full.push(Demand::of(job));
             }
             let (hasty, image) = (self.hasty(ctx, job), job.image);
             let due = self.guaranteed.contains(&id);
@@ -487,11 +518,14 @@
             ctx.set.teams.get(crew).is_some_and(|t| !t.guarantees(&used))
         };
         let due = !with_image && guaranteed.contains(id);
-        let yields = |j: &Job| {
+        let yields = |other: &Id| {
+            let Some(j) = self.jobs.get(other) else { return false };
             let back = due && j.spec.crew != job.spec.crew && !guaranteed.contains(&j.id) && borrows(&j.spec.crew);
             let back = back && j.urgency <= job.urgency && !j.is_service();
             j.spec.mark_every_s <= 0.0 && (j.urgency < job.urgency || back)
         };
+        // A job has tasks on many of these machines.
+        let mut known: HashMap<&str, bool> = HashMap::new();
         let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
         let mut looked = 0;
         let begin = self.sample_from.clone().map_or(Bound::Unbounded, Bound::Excluded);
@@ -513,14 +547,17 @@
                 continue;
             }
             looked += 1;
-            let mut victims: Vec<(u64, &Placement)> = m
-                .places
-                .iter()
-                .filter(|p| p.halt.is_none())
-                .filter_map(|p| self.jobs.get(&p.job).map(|j| (p, j)))
-                .filter(|(_, j)| yields(j))
-                .map(|(p, _)| (p.running.map_or(0, |r| now.saturating_sub(r)), p))
-                .collect();
+            let mut victims: Vec<(u64, &Placement)> = Vec::new();
+            let mut most = m.free();
+            for p in m.places.iter().filter(|p| p.halt.is_none()) {
+                if *known.entry(&p.job).or_insert_with(|| yields(&p.job)) {
+                    most.add(&p.need, 1);
+                    victims.push((p.running.map_or(0, |r| now.saturating_sub(r)), p));
+                }
+            }
+            if !most.fits(&job.need) {
+                continue;
+            }
             victims.sort_by_key(|(ran, p)| (*ran, p.slot));
             let mut free = m.free();
             let (mut lost, mut list) = (0, Vec::new());
