One clock for idle connections, nothing read ahead while a request is handled

Now connections note when they were last used and are closed by one clock; reports need no timer, since they are answered in the batch that they come in.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! that hands batches to the owner and carries out its effects.
 
 pub mod client;
+pub mod connections;
 pub mod meter;
 pub mod outside;
 pub mod peers;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,18 +1,17 @@
 //! The HTTP server for users, workers and health checks.
 
+use crate::connections::{Activity, Connections};
 use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use shaleshunt_core::io::Answer;
 use shaleshunt_wire::user::{Problem, Submission};
 use shaleshunt_wire::worker::{Elsewhere, Report};
 use shaleshunt_wire::{MAX_BODY, paths};
-use std::cell::Cell;
-use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
@@ -50,7 +49,8 @@
 
 /// Serves until the process ends.
 pub async fn serve(listener: TcpListener, asks: Asks, limits: Limits, sockets: Sockets) {
-    let open = Rc::new(Cell::new(0usize));
+    let connections = Connections::new();
+    tokio::task::spawn_local(connections.clone().close_idle(limits.idle));
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -60,29 +60,31 @@
                 continue;
             }
         };
-        if open.get() >= limits.connections {
+        if connections.open() >= limits.connections {
             // At the limit a new connection is closed at once; nobody waits for nothing.
             continue;
         }
-        open.set(open.get() + 1);
-        let (asks, open, socket) = (asks.clone(), open.clone(), sockets.open());
-        tokio::task::spawn_local(async move {
-            let _socket = socket;
-            connection(stream, asks, limits).await;
-            open.set(open.get() - 1);
-        });
+        let (asks, socket) = (asks.clone(), sockets.open());
+        let activity = connections.activity();
+        connections.spawn(socket, activity.clone(), connection(stream, asks, limits, activity));
     }
 }
 
-async fn connection(stream: TcpStream, asks: Asks, limits: Limits) {
+async fn connection(stream: TcpStream, asks: Asks, limits: Limits, activity: Activity) {
     let _ = stream.set_nodelay(true);
     let service = service_fn(move |request| {
-        let asks = asks.clone();
-        async move { Ok::<_, std::convert::Infallible>(handle(request, &asks, limits).await) }
+        let (asks, activity) = (asks.clone(), activity.clone());
+        async move {
+            activity.begin_request();
+            let response = handle(request, &asks, limits).await;
+            activity.end_request();
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
+    // Half closed connections are allowed so that nothing more is read while a request is handled: that
+    // would take another buffer for each.
     let served = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle)
+        .half_close(true)
         .max_buf_size(32 * 1024)
         .serve_connection(TokioIo::new(stream), service)
         .await;
@@ -189,13 +191,20 @@
         }
         (None, _) => return problem(404, "no such path", None),
     };
+    // A report is answered with the batch that it comes in, so it needs no timer.
+    let answered_at_once = matches!(ask, Ask::Checkin(_));
     let (tell, told) = oneshot::channel();
     if asks.try_send((ask, tell)).is_err() {
         return problem(503, "too many requests at once", Some(1));
     }
-    match tokio::time::timeout(limits.answer, told).await {
-        Ok(Ok(answer)) => write(answer),
-        _ => problem(503, "no answer in time", Some(1)),
+    let answer = if answered_at_once {
+        told.await.ok()
+    } else {
+        tokio::time::timeout(limits.answer, told).await.ok().and_then(Result::ok)
+    };
+    match answer {
+        Some(answer) => write(answer),
+        None => problem(503, "no answer in time", Some(1)),
     }
 }
 
