--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -6,6 +6,10 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
+/// Requests allocate and free many buffers; the system's allocator took longer and held more memory for them.
+#[global_allocator]
+static ALLOCATOR: tikv_jemallocator::Jemalloc = tikv_jemallocator::Jemalloc;
+
 /// A cluster scheduler: deadline jobs run shortest first on owned machines, and on rented ones when
 /// they would be late.
 #[derive(Parser)]
