Passes over the queue further apart as the leader's batches begin later

The owner now sees by how much its batches begin late and leaves four times that between passes, a fifth of a reporting interval at most.

--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -20,6 +20,9 @@
 /// Bits of an attempt below the epoch: the leader's counter.
 const ATTEMPT_BITS: u32 = 28;
 
+/// So many times a node's lag goes by between two passes over the queue, up to a fifth of a reporting interval.
+const LAG_BETWEEN_PASSES: u64 = 4;
+
 /// Most arrivals remembered.
 const ARRIVALS: usize = 2000;
 
@@ -714,7 +717,9 @@
         if self.replan && now >= self.plan_at {
             self.replan = false;
             self.watch_zones(ctx);
-            self.plan_at = now + (ctx.set.report_s * 1000.0 / ctx.tune.passes) as u64;
+            // The shorter of processor time, the longer between passes: leases and answers come first.
+            let apart = (ctx.set.report_s * 1000.0 / ctx.tune.passes) as u64;
+            self.plan_at = now + apart + (ctx.lag_ms * LAG_BETWEEN_PASSES).min(ctx.set.report_ms() / 5);
             self.schedule(ctx);
         }
         self.commit(ctx);
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -50,6 +50,9 @@
     waits: HashMap<RequestId, (Wait, Moment)>,
     /// Batches so far.
     step: u64,
+    /// How much later than it should the last batches began, in ms: how short of processor time this
+    /// node is.
+    pub lag_ms: u64,
     /// A number that no other process of any node has.
     pub process: u64,
     /// When the state service last answered, and when it last did not.
@@ -204,6 +207,7 @@
                 next: 0,
                 waits: HashMap::new(),
                 step: 0,
+                lag_ms: 0,
                 process,
                 state_ok: now.mono,
                 state_bad: 0,
@@ -243,6 +247,9 @@
 
     /// Begins a batch; [`Node::take`] and [`Node::finish`] are its other parts, for who measures them.
     pub fn begin(&mut self, now: Now) {
+        let late = now.mono.saturating_sub(self.ctx.now.mono + self.ctx.set.tick_ms());
+        // It falls slowly, so that one quick batch does not hide a row of slow ones.
+        self.ctx.lag_ms = late.max(self.ctx.lag_ms * 3 / 4);
         self.ctx.now = now;
         self.ctx.step += 1;
     }
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -184,6 +184,10 @@
     pub fn lease_over_ms(&self) -> u64 {
         (self.lease_s * 1002.0 + self.report_s * 100.0) as u64
     }
+    /// Longest time between two batches of a node that is not short of processor time.
+    pub fn tick_ms(&self) -> u64 {
+        (self.report_s * 1000.0 / 60.0) as u64
+    }
     /// Reporting interval in milliseconds.
     pub fn report_ms(&self) -> u64 {
         (self.report_s * 1000.0) as u64
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -117,7 +117,7 @@
     let mut tidied = Instant::now();
     let mut meter = meter::Meter::new();
     let mut asks_taken: RequestId = 1 << 63;
-    let mut tick = tokio::time::interval(report.div_f64(60.0));
+    let mut tick = tokio::time::interval(Duration::from_millis(hands.me.tick_ms().max(1)));
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
         let mut batch = Vec::new();
