--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod model;
 pub mod node;
 pub mod settings;
+pub mod work;
 
 mod awaits;
 mod commit;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,6 +6,7 @@
 use crate::limits::Granted;
 use crate::model::keys;
 use crate::settings::{Settings, Tuning};
+use crate::work::Work;
 use serde_json::{Value, json};
 use shaleshunt_peer::Frame;
 use shaleshunt_wire::cloud::Catalog;
@@ -53,6 +54,8 @@
     /// How much later than it should the last batches began, in ms: how short of processor time this
     /// node is.
     pub lag_ms: u64,
+    /// Work done so far.
+    pub work: Work,
     /// A number that no other process of any node has.
     pub process: u64,
     /// When the state service last answered, and when it last did not.
@@ -208,6 +211,7 @@
                 waits: HashMap::new(),
                 step: 0,
                 lag_ms: 0,
+                work: Work::default(),
                 process,
                 state_ok: now.mono,
                 state_bad: 0,
@@ -260,6 +264,11 @@
         std::mem::take(&mut self.ctx.out)
     }
 
+    /// The work done so far.
+    pub fn work(&self) -> Work {
+        self.ctx.work
+    }
+
     /// Whether this node leads and has read everything.
     pub fn leads(&self) -> bool {
         self.leader.as_ref().is_some_and(|l| l.active)
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -278,6 +278,7 @@
 
     /// Places what can be placed.
     pub(crate) fn schedule(&mut self, ctx: &mut Ctx) {
+        ctx.work.passes += 1;
         self.send_out(ctx);
         let now = ctx.now.mono;
         let queue = self.queue(ctx);
@@ -302,6 +303,9 @@
             }
             let known_full = full.iter().any(|demand| demand.includes(job));
             let seats = if known_full { Vec::new() } else { self.seats(ctx, job, most, None) };
+            if !known_full {
+                ctx.work.machines_examined += self.looms.len() as u64;
+            }
             let free_choice = !job.spec.one_zone && !job.spec.scatter;
             // A job that keeps off machines where it failed says nothing about those.
             let unrestricted = free_choice && job.failed_on.is_empty();
--- /dev/null
+++ b/crates/testkit/tests/work_counts.rs
@@ -0,0 +1,182 @@
+//! How much the leader does, counted: what it does for one command must not grow with the machines times the
+//! queue, and a leader that is short of processor time leaves more time between passes over the queue.
+
+use shaleshunt_core::io::{Answer, Command, Effect};
+use shaleshunt_core::settings::{Limits, Team};
+use shaleshunt_core::work::Work;
+use shaleshunt_core::{Node, Now, Settings, Tuning};
+use shaleshunt_testkit::cloud::Cloud;
+use shaleshunt_testkit::state::StateService;
+use shaleshunt_testkit::worker::Worker;
+use shaleshunt_wire::Room;
+use shaleshunt_wire::user::Submission;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MACHINES: u64 = 60;
+const JOBS: u64 = 80;
+const REPORT_MS: u64 = 5_000;
+
+/// A leader with a fleet that it owns, in simulated time.
+struct Site {
+    node: Node,
+    state: StateService,
+    cloud: Cloud,
+    machines: Vec<Worker>,
+    jobs: BTreeMap<String, Submission>,
+    now: u64,
+    requests: u64,
+}
+
+impl Site {
+    fn new() -> Site {
+        let limits = Limits { value_kb: 16.0, txn_ops: 24, write_rps: 90.0 };
+        let settings = Settings {
+            label: "n0".into(),
+            location: "a".into(),
+            zones: vec!["a".into()],
+            teams: BTreeMap::from([("t".to_string(), Team::default())]),
+            report_s: REPORT_MS as f64 / 1000.0,
+            lease_s: 27.0,
+            cancel_s: 52.0,
+            state_rps: 250.0,
+            state: limits.clone(),
+            cloud_rps: 6.0,
+            list_lag_s: 3.0,
+            mem_mb: 85.0,
+            ..Settings::default()
+        };
+        let mut cloud = Cloud::default();
+        cloud.catalog.frames = serde_json::from_str(
+            r#"[{"name":"f","cores":16.0,"cards":0.0,"ramGb":64.0,"localGb":50.0,"fetchGbPerS":0.5,"price":2.0,
+            "marketPrice":0.5,"bootS":20.0,"halls":["a"]}]"#,
+        )
+        .unwrap();
+        let room = Room::new(16.0, 0.0, 64.0);
+        let machines = (0..MACHINES)
+            .map(|number| {
+                let id = cloud.give(0, "f", "a", false, Some(0));
+                let mut machine = Worker::new(&id, "f", "a", false, room, 0.5, 27_000, 0);
+                machine.report_at = number * REPORT_MS / MACHINES;
+                machine
+            })
+            .collect();
+        let mut state = StateService::default();
+        state.limits = limits;
+        let node = Node::new(settings, Tuning::default(), Now { mono: 1, wall: 1_700_000_000_000 }, 7);
+        Site { node, state, cloud, machines, jobs: BTreeMap::new(), now: 1, requests: 1 << 40 }
+    }
+
+    /// Hands over one batch, and what it leads to in further batches of the same moment.
+    fn tell(&mut self, mut commands: Vec<Command>) -> Vec<(u64, Answer)> {
+        let mut answers = Vec::new();
+        while !commands.is_empty() {
+            let time = Now { mono: self.now, wall: 1_700_000_000_000 + self.now };
+            for effect in self.node.step(time, std::mem::take(&mut commands)) {
+                match effect {
+                    Effect::State(id, request, _) => {
+                        let answer = self.state.handle(self.now, (0, 1), id, request);
+                        commands.extend(answer.map(|a| Command::State(id, a)));
+                    }
+                    Effect::Cloud(id, request) => {
+                        let (answer, _) = self.cloud.handle(self.now, request);
+                        commands.push(Command::Cloud(id, answer));
+                    }
+                    Effect::Orders(id, to, orders) => {
+                        let Some(machine) = self.machines.iter_mut().find(|m| m.id == to) else { continue };
+                        let (_, report) = machine.orders(self.now, orders, &self.jobs);
+                        commands.push(Command::Orders(id, Ok(shaleshunt_core::io::OrdersReply::Executed(report))));
+                    }
+                    Effect::Answer(id, answer) => answers.push((id, answer)),
+                    Effect::Peer(..) | Effect::Log(..) => {}
+                }
+            }
+        }
+        answers
+    }
+
+    /// Lets time pass; the node takes a batch every `step` ms.
+    fn pass_time(&mut self, ms: u64, step: u64) {
+        for _ in 0..ms / step {
+            self.now += step;
+            self.cloud.turn(self.now);
+            let mut batch: Vec<Command> =
+                self.state.turn(self.now).into_iter().map(|(_, id, reply)| Command::State(id, Ok(reply))).collect();
+            let mut sent = BTreeMap::new();
+            for (number, machine) in self.machines.iter_mut().enumerate() {
+                machine.turn(self.now, &self.jobs, &BTreeSet::new(), &BTreeSet::new());
+                if let Some(report) = machine.begin_report(self.now, REPORT_MS) {
+                    self.requests += 1;
+                    sent.insert(self.requests, (number, (self.now, report.shift, report.tick)));
+                    batch.push(Command::Checkin(self.requests, Box::new(report)));
+                }
+            }
+            batch.push(Command::Tick);
+            for (id, answer) in self.tell(batch) {
+                let Some((number, key)) = sent.get(&id) else { continue };
+                let machine = &mut self.machines[*number];
+                match answer {
+                    Answer::Report(reply) => machine.answer(self.now, *key, reply, &self.jobs),
+                    _ => machine.waiting = None,
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, number: u64, cores: f64, expect_s: f64) {
+        let text = format!(
+            r#"{{"ref":"wk-{number}","jobline":"x","crew":"t","shape":"array","urgency":"normal","pieces":200,
+            "cores":{cores:.3},"cards":0.0,"ramGb":1.0,"bundle":"i","imageGb":0.1,"oneZone":false,"scatter":false,
+            "borrowed":false,"expectS":{expect_s:.1},"markEveryS":0.0,"markTakesS":0.0}}"#
+        );
+        let submission = Submission::parse(text.as_bytes()).unwrap();
+        self.jobs.insert(submission.id.clone(), submission.clone());
+        self.requests += 1;
+        self.tell(vec![Command::Submit(self.requests, Box::new(submission))]);
+    }
+
+    fn work_during(&mut self, ms: u64, step: u64) -> Work {
+        let before = self.node.work();
+        self.pass_time(ms, step);
+        let after = self.node.work();
+        Work {
+            passes: after.passes - before.passes,
+            machines_examined: after.machines_examined - before.machines_examined,
+        }
+    }
+}
+
+/// A site with much more work than room, each job of another size, its tasks as long as said.
+fn overloaded_site(expect_s: f64) -> Site {
+    let mut site = Site::new();
+    site.pass_time(10_000, 50);
+    assert!(site.node.leads());
+    for number in 0..JOBS {
+        site.submit(number, 4.0 + number as f64 * 0.01, expect_s * (1.0 + number as f64 / JOBS as f64));
+        site.pass_time(200, 50);
+    }
+    site.pass_time(20_000, 50);
+    let running: usize = site.machines.iter().map(|m| m.tasks.len()).sum();
+    assert!(running as u64 >= MACHINES * 3, "the fleet is full: {running}");
+    site
+}
+
+/// Jobs of one class differ a little in what they need. Each looked at every machine in every pass, though one
+/// that needed less had just found none: passes took a quarter of a busy leader's time.
+#[test]
+fn a_full_fleet_is_not_examined_for_every_waiting_job() {
+    let mut site = overloaded_site(500.0);
+    let work = site.work_during(20_000, 50);
+    assert!(work.passes > 5, "{work:?}");
+    assert!(work.machines_examined <= work.passes * MACHINES * 3, "{work:?}");
+}
+
+/// A leader whose batches begin late has no time for a pass with each of them.
+#[test]
+fn a_leader_short_of_time_leaves_more_between_passes() {
+    let mut site = overloaded_site(3.0);
+    let tick = REPORT_MS / 60;
+    let quick = site.work_during(20_000, tick / 2);
+    let late = site.work_during(20_000, tick * 2);
+    assert!(late.passes * 3 <= 20_000 / (tick * 2), "a pass with every third batch at most: {late:?} {quick:?}");
+    assert!(late.passes >= 20, "it goes on placing: {late:?}");
+}
