--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -320,8 +320,8 @@
                 f.txn.set(key, 0, json!(h.hire), 200);
                 f.hires.push(name.clone());
                 h.writing = true;
-            } else if let Some(looms) = &h.answer
-                && looms.iter().all(|id| self.looms.get(id).is_none_or(|m| m.recorded))
+            } else if let Some(machines) = &h.answer
+                && machines.iter().all(|id| self.machines.get(id).is_none_or(|m| m.recorded))
             {
                 f.txn.drop_key(key, h.stamp);
                 f.hires_dropped.push(name.clone());
@@ -332,29 +332,29 @@
 
     /// Puts a machine into a block of its zone.
     pub(crate) fn join_block(&mut self, ctx: &Ctx, id: &Id) {
-        let Some(m) = self.looms.get_mut(id) else { return };
+        let Some(m) = self.machines.get_mut(id) else { return };
         if m.block.is_some() {
             return;
         }
-        let most = ctx.limits.block_looms();
-        let fits = |b: &Block| b.hall == m.hall && b.owned == m.owned && b.looms.len() < most;
+        let most = ctx.limits.block_machines();
+        let fits = |b: &Block| b.zone == m.zone && b.owned == m.owned && b.machines.len() < most;
         let found = self.blocks.iter().rev().find(|(_, b)| fits(b)).map(|(n, _)| *n);
         let n = found.unwrap_or(self.newest_block + 1);
         self.newest_block = self.newest_block.max(n);
         let block = self.blocks.entry(n).or_default();
-        (block.hall, block.owned) = (m.hall.clone(), m.owned);
-        block.looms.insert(id.clone());
+        (block.zone, block.owned) = (m.zone.clone(), m.owned);
+        block.machines.insert(id.clone());
         m.block = Some(n);
         self.dirty_blocks.insert(n);
     }
 
     fn block_record(&self, n: u32, most: usize) -> Option<(serde_json::Value, usize, Vec<Id>)> {
         let b = self.blocks.get(&n)?;
-        let mut rec = BlockRecord { z: b.hall.clone(), ..BlockRecord::default() };
+        let mut rec = BlockRecord { z: b.zone.clone(), ..BlockRecord::default() };
         let mut index: std::collections::BTreeMap<u32, u32> = std::collections::BTreeMap::new();
         let mut members = Vec::new();
-        for id in &b.looms {
-            let Some(m) = self.looms.get(id) else { continue };
+        for id in &b.machines {
+            let Some(m) = self.machines.get(id) else { continue };
             let mut images = Vec::new();
             for (image, gb) in &m.images {
                 let at = *index.entry(*image).or_insert_with(|| {
@@ -364,9 +364,9 @@
                 });
                 images.push(at);
             }
-            let one = LoomRecord {
+            let one = MachineRecord {
                 f: m.frame.clone(),
-                b: m.borrowed,
+                b: m.spot,
                 o: m.owned,
                 e: m.endpoint.clone(),
                 s: m.shift,
@@ -415,7 +415,7 @@
             }
             let Some(b) = self.blocks.get(&n) else { continue };
             let (key, stamp) = (format!("{}{n}", keys::BLOCKS), b.stamp);
-            if b.looms.is_empty() {
+            if b.machines.is_empty() {
                 if stamp > 0 && f.txn.takes(1, 1, 100) {
                     f.txn.drop_key(key, stamp);
                     f.blocks.push((n, Vec::new()));
@@ -447,21 +447,21 @@
     /// Whether it has to wait: its own record shrinks only when theirs are stored, so that at any
     /// moment each machine is in some record.
     fn split_block(&mut self, ctx: &Ctx, n: u32) -> bool {
-        let most = ctx.limits.block_looms();
+        let most = ctx.limits.block_machines();
         let Some(b) = self.blocks.get_mut(&n) else { return false };
-        if b.looms.len() <= most {
+        if b.machines.len() <= most {
             let stored = |n: &u32| self.blocks.get(n).is_none_or(|b| b.stamp > 0) && !self.dirty_blocks.contains(n);
             return !self.blocks[&n].after.iter().all(stored);
         }
-        let rest: Vec<Id> = b.looms.iter().skip(most).cloned().collect();
-        b.looms.retain(|id| !rest.contains(id));
+        let rest: Vec<Id> = b.machines.iter().skip(most).cloned().collect();
+        b.machines.retain(|id| !rest.contains(id));
         let mut given = BTreeSet::new();
         for id in &rest {
-            if let Some(m) = self.looms.get_mut(id) {
+            if let Some(m) = self.machines.get_mut(id) {
                 m.block = None;
             }
             self.join_block(ctx, id);
-            given.extend(self.looms.get(id).and_then(|m| m.block));
+            given.extend(self.machines.get(id).and_then(|m| m.block));
         }
         if let Some(b) = self.blocks.get_mut(&n) {
             b.after.extend(given);
@@ -626,8 +626,8 @@
 
     fn succeeded(&mut self, ctx: &mut Ctx, f: Flight, ledger: u64) {
         self.pages_stored(f.pages, f.noted, f.dead_pages, ledger);
-        for (loom, slot) in f.plans {
-            let Some(m) = self.looms.get_mut(&loom) else { continue };
+        for (machine, slot) in f.plans {
+            let Some(m) = self.machines.get_mut(&machine) else { continue };
             let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
             p.stage = Stage::Committed;
             if let Some(job) = self.jobs.get_mut(&p.job)
@@ -635,7 +635,7 @@
             {
                 l.planned = false;
             }
-            self.push.insert(loom);
+            self.push.insert(machine);
         }
         for id in f.finals {
             if let Some(job) = self.jobs.remove(&id) {
@@ -650,7 +650,7 @@
             }
         }
         for (n, members) in f.blocks {
-            if members.is_empty() && self.blocks.get(&n).is_some_and(|b| b.looms.is_empty()) {
+            if members.is_empty() && self.blocks.get(&n).is_some_and(|b| b.machines.is_empty()) {
                 self.blocks.remove(&n);
                 continue;
             }
@@ -659,7 +659,7 @@
                 b.after.clear();
             }
             for id in members {
-                if let Some(m) = self.looms.get_mut(&id) {
+                if let Some(m) = self.machines.get_mut(&id) {
                     self.replan |= !m.recorded;
                     m.recorded = true;
                 }
@@ -691,11 +691,11 @@
                 self.refresh(ctx, id.clone());
             }
         }
-        for (loom, slot) in f.plans {
-            let place = self.looms.get(&loom).and_then(|m| m.places.iter().find(|p| p.slot == slot));
+        for (machine, slot) in f.plans {
+            let place = self.machines.get(&machine).and_then(|m| m.places.iter().find(|p| p.slot == slot));
             if let Some(job) = place.filter(|p| p.stage == Stage::Planned && stale.contains(&p.job)).map(|p| &p.job) {
                 let job = job.clone();
-                self.release(now, &loom, slot, false);
+                self.release(now, &machine, slot, false);
                 self.queue_write(now, &job);
             }
         }
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -28,36 +28,36 @@
             ctx.answer(id, blind);
             return;
         }
-        let loom: Id = report.loom.as_str().into();
-        let fresh = self.report(ctx, &loom, report, true);
-        let baton = self.looms.get(&loom).map_or(self.epoch << crate::leader::TOKEN_BITS, |m| self.token(m));
-        let orders = if fresh { self.orders_for(&loom, true) } else { Vec::new() };
-        if let Some(m) = self.looms.get_mut(&loom) {
+        let machine: Id = report.machine.as_str().into();
+        let fresh = self.report(ctx, &machine, report, true);
+        let token = self.machines.get(&machine).map_or(self.epoch << crate::leader::TOKEN_BITS, |m| self.token(m));
+        let orders = if fresh { self.orders_for(&machine, true) } else { Vec::new() };
+        if let Some(m) = self.machines.get_mut(&machine) {
             m.answer_open |= orders.iter().any(|o| matches!(o, Order::Run { .. }));
         }
-        ctx.answer(id, Answer::Report(ReportReply { baton, orders }));
+        ctx.answer(id, Answer::Report(ReportReply { token, orders }));
     }
 
     /// A machine nobody expected: a hire carried out late, perhaps. It is adopted. But its report
     /// may be a late copy from a machine long returned, so it gets no tasks before it has heard us.
-    fn adopt(&mut self, ctx: &mut Ctx, loom: &Id, r: &Report) {
-        let owned = self.owned.as_ref().is_some_and(|o| o.contains(&r.loom));
-        let mut m = self.new_loom(ctx, loom, &r.frame, &r.hall, r.borrowed, owned);
+    fn adopt(&mut self, ctx: &mut Ctx, machine: &Id, r: &Report) {
+        let owned = self.owned.as_ref().is_some_and(|o| o.contains(&r.machine));
+        let mut m = self.new_machine(ctx, machine, &r.frame, &r.zone, r.spot, owned);
         m.deaf = if self.owned.is_some() && !owned { u32::MAX / 2 } else { 0 };
-        self.looms.insert(loom.clone(), m);
-        self.confirm.push_back(loom.clone());
-        ctx.log(Severity::Debug, format!("machine {loom} reports"));
+        self.machines.insert(machine.clone(), m);
+        self.confirm.push_back(machine.clone());
+        ctx.log(Severity::Debug, format!("machine {machine} reports"));
     }
 
     /// Takes in a report; false if it is older than one already seen.
-    fn report(&mut self, ctx: &mut Ctx, loom: &Id, r: Report, checkin: bool) -> bool {
+    fn report(&mut self, ctx: &mut Ctx, machine: &Id, r: Report, checkin: bool) -> bool {
         let now = ctx.now.mono;
-        if !self.looms.contains_key(loom) {
-            self.adopt(ctx, loom, &r);
+        if !self.machines.contains_key(machine) {
+            self.adopt(ctx, machine, &r);
         }
-        let token = self.looms.get(loom).map_or(0, |m| self.token(m));
+        let token = self.machines.get(machine).map_or(0, |m| self.token(m));
         let epoch = self.epoch;
-        let Some(m) = self.looms.get_mut(loom) else { return false };
+        let Some(m) = self.machines.get_mut(machine) else { return false };
         if m.heard.is_some() && (r.shift, r.tick) <= m.last || r.shift < m.shift {
             return false;
         }
@@ -67,21 +67,21 @@
         m.last = (r.shift, r.tick);
         m.heard = Some(now);
         m.cut = false;
-        match self.zones_heard.get_mut(&m.hall) {
+        match self.zones_heard.get_mut(&m.zone) {
             // Later than now while a new leader gives the zone time to be heard: one machine that
             // answers at once does not end that for the others, who only just change over.
             Some(z) => z.0 = z.0.max(now),
             None => {
-                self.zones_heard.insert(m.hall.clone(), (now, 1));
+                self.zones_heard.insert(m.zone.clone(), (now, 1));
             }
         }
-        if m.hall.is_empty() {
+        if m.zone.is_empty() {
             // Known so far only by a record of a placement.
-            (m.frame, m.hall, m.borrowed) = (r.frame, r.hall, r.borrowed);
+            (m.frame, m.zone, m.spot) = (r.frame, r.zone, r.spot);
             m.room = Default::default();
             for p in &m.places {
                 if let Some(j) = self.jobs.get_mut(&p.job) {
-                    *j.zones.entry(m.hall.clone()).or_default() += 1;
+                    *j.zones.entry(m.zone.clone()).or_default() += 1;
                     let unknown = j.zones.entry(String::new()).or_default();
                     *unknown = unknown.saturating_sub(1);
                 }
@@ -99,7 +99,7 @@
         match r.warn_s {
             Some(s) if m.warned.is_none() => {
                 m.warned = Some(now + (s.max(0.0) * 1000.0) as u64);
-                ctx.log(Severity::Debug, format!("machine {loom} is taken away in {s} s"));
+                ctx.log(Severity::Debug, format!("machine {machine} is taken away in {s} s"));
             }
             Some(_) => {}
             None => m.warned = None,
@@ -108,13 +108,13 @@
         // session no longer count.
         m.shift = r.shift;
         let lost: Vec<u64> = m.places.iter().filter(|p| p.shift < r.shift).map(|p| p.slot).collect();
-        let current = r.baton >= token;
+        let current = r.token >= token;
         if current && !m.ours {
             m.ours = true;
             m.deaf = 0;
             self.replan = true;
         }
-        if current && r.baton >> crate::leader::TOKEN_BITS > epoch {
+        if current && r.token >> crate::leader::TOKEN_BITS > epoch {
             self.down = Some("a worker has seen a newer token");
         }
         // A direct call's report may be older than the answer to the last check-in, which may still
@@ -192,36 +192,36 @@
             m.deaf = m.deaf.saturating_add(1);
         }
         if again {
-            self.push.insert(loom.clone());
+            self.push.insert(machine.clone());
         }
         let strange = seen.iter().filter(|s| !s.4).map(|s| s.3);
         strangers.extend(strange.map(|p| (p.piece.clone(), p.attempt, exit_cause(p.status, p.cause))));
         m.strangers = strangers;
         let (warned, known) = (m.warned.is_some(), m.block.is_some());
         if !known {
-            self.join_block(ctx, loom);
+            self.join_block(ctx, machine);
         }
         for slot in lost {
-            self.release(now, loom, slot, false);
+            self.release(now, machine, slot, false);
         }
         for slot in absent {
-            self.release(now, loom, slot, false);
+            self.release(now, machine, slot, false);
         }
         for (slot, cause) in ended {
-            self.ended(ctx, loom, slot, cause);
+            self.ended(ctx, machine, slot, cause);
         }
         if warned {
-            self.drain(ctx, loom);
+            self.drain(ctx, machine);
         }
         true
     }
 
     /// A task has ended on a machine, by a report under the current token.
-    fn ended(&mut self, ctx: &mut Ctx, loom: &Id, slot: u64, cause: Cause) {
+    fn ended(&mut self, ctx: &mut Ctx, machine: &Id, slot: u64, cause: Cause) {
         let now = ctx.now.mono;
-        let Some(p) = self.release(now, loom, slot, cause == Cause::Done) else { return };
+        let Some(p) = self.release(now, machine, slot, cause == Cause::Done) else { return };
         let name = format!("{}/{}", p.job, p.piece);
-        if let Some(m) = self.looms.get_mut(loom) {
+        if let Some(m) = self.machines.get_mut(machine) {
             m.strangers.push((name.clone(), p.attempt, Some(cause)));
         }
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
@@ -235,34 +235,34 @@
                 if let (Some(start), true) = (p.running, expected > 0.0) {
                     let ran = now.saturating_sub(start) as f64 / 1000.0;
                     job.ran = (job.ran.0 + 1, job.ran.1 + now.saturating_sub(start));
-                    let class = self.learned.entry(job.spec.jobline.clone()).or_default();
+                    let class = self.learned.entry(job.spec.class.clone()).or_default();
                     class.actual += ran;
                     class.expected += expected;
                 }
                 // A task that began before the last failure says nothing about the machine since.
-                if let Some(m) = self.looms.get_mut(loom).filter(|m| p.since > m.failed_at) {
+                if let Some(m) = self.machines.get_mut(machine).filter(|m| p.since > m.failed_at) {
                     m.failures.clear();
                     m.sick_times = 0;
                 }
                 self.touch(now, &p.job, p.piece, false);
-                for id in failed_on.iter().filter(|id| *id != loom) {
-                    if self.looms.get(id).is_some_and(|m| m.failures.contains(&p.job)) {
+                for id in failed_on.iter().filter(|id| *id != machine) {
+                    if self.machines.get(id).is_some_and(|m| m.failures.contains(&p.job)) {
                         self.set_aside(ctx, id);
                     }
                 }
             }
             Cause::Done | Cause::Error | Cause::NoSuch | Cause::Unknown => {
-                ctx.log(Severity::Debug, format!("task {name} failed on {loom}: {cause:?}"));
+                ctx.log(Severity::Debug, format!("task {name} failed on {machine}: {cause:?}"));
                 if cause == Cause::Error {
                     let ran = p.running.map_or(0, |r| now.saturating_sub(r));
-                    self.failed_on(ctx, loom, &p.job, ran);
+                    self.failed_on(ctx, machine, &p.job, ran);
                 } else if let Some(job) = self.jobs.get_mut(&p.job) {
                     job.not_before = now + ctx.set.report_ms();
                 }
             }
             // Room that we did not know to be taken: a stopped task not gone yet, for example.
             Cause::NoRoom | Cause::InUse => {
-                if let Some(m) = self.looms.get_mut(loom) {
+                if let Some(m) = self.machines.get_mut(machine) {
                     m.sick_until = m.sick_until.max(now + ctx.set.report_ms() / 3);
                 }
             }
@@ -275,22 +275,22 @@
     /// is the machine; it is left alone for a while, then tried with one task. A job that failed on
     /// several machines without any such sign is held back and counts against no machine. With
     /// dozens of machines failing at once, a large job fails many times before its first task ends.
-    fn failed_on(&mut self, ctx: &mut Ctx, loom: &Id, job: &Id, ran: u64) {
+    fn failed_on(&mut self, ctx: &mut Ctx, machine: &Id, job: &Id, ran: u64) {
         let now = ctx.now.mono;
         let Some(j) = self.jobs.get_mut(job) else { return };
         j.failures += 1;
-        j.failed_on.insert(loom.clone());
+        j.failed_on.insert(machine.clone());
         let long = ran + ctx.set.report_ms() / 2;
         let steady = |l: &Live| {
-            let place = self.looms.get(&l.loom).and_then(|m| m.places.iter().find(|p| p.slot == l.slot));
-            l.loom != *loom && place.is_some_and(|p| p.running.is_some_and(|r| now - r > long))
+            let place = self.machines.get(&l.machine).and_then(|m| m.places.iter().find(|p| p.slot == l.slot));
+            l.machine != *machine && place.is_some_and(|p| p.running.is_some_and(|r| now - r > long))
         };
         let does_well = j.done_count > 0 || j.live.values().flatten().any(steady);
         // Tasks that have only just begun elsewhere are no sign yet, but a job of which some run is
         // not called broken: a large one loses many tasks at once to a few machines.
         let runs = |l: &Live| {
-            let place = self.looms.get(&l.loom).and_then(|m| m.places.iter().find(|p| p.slot == l.slot));
-            !j.failed_on.contains(&l.loom) && place.is_some_and(|p| p.running.is_some())
+            let place = self.machines.get(&l.machine).and_then(|m| m.places.iter().find(|p| p.slot == l.slot));
+            !j.failed_on.contains(&l.machine) && place.is_some_and(|p| p.running.is_some())
         };
         let many = (j.failed_on.len() >= 3 || j.failures >= 6) && !does_well;
         let broken = many && !j.live.values().flatten().any(runs);
@@ -300,38 +300,38 @@
         if broken {
             let wait = ctx.tune.sick_s * 1000.0 / 8.0 * f64::from(1u32 << (j.failures.min(8) - 3).min(4));
             j.not_before = now + wait as u64;
-            for m in self.looms.values_mut() {
+            for m in self.machines.values_mut() {
                 m.failures.retain(|f| f != job);
             }
         }
-        let Some(m) = self.looms.get_mut(loom) else { return };
+        let Some(m) = self.machines.get_mut(machine) else { return };
         m.failed_at = now;
         if !broken {
             m.failures.push(job.clone());
         }
         let kinds: BTreeSet<&Id> = m.failures.iter().collect();
         if (kinds.len() >= 2 || does_well || m.sick_times > 0) && !broken {
-            self.set_aside(ctx, loom);
+            self.set_aside(ctx, machine);
         }
         self.replan = true;
     }
 
     /// A machine fails its tasks: it is not used for a while, longer each time.
-    fn set_aside(&mut self, ctx: &mut Ctx, loom: &Id) {
+    fn set_aside(&mut self, ctx: &mut Ctx, machine: &Id) {
         let now = ctx.now.mono;
-        let Some(m) = self.looms.get_mut(loom).filter(|m| now >= m.sick_until) else { return };
+        let Some(m) = self.machines.get_mut(machine).filter(|m| now >= m.sick_until) else { return };
         m.sick_times += 1;
         let pause = ctx.tune.sick_s * 1000.0 * f64::from(1u32 << (m.sick_times - 1).min(3));
         m.sick_until = now + pause as u64;
         m.failures.clear();
-        ctx.log(Severity::Info, format!("machine {loom} fails its tasks: not used for {} s", pause / 1000.0));
+        ctx.log(Severity::Info, format!("machine {machine} fails its tasks: not used for {} s", pause / 1000.0));
     }
 
     /// Commands that a machine needs now. Each can be repeated, so they are worked out anew every
     /// time. `forget` only goes out in the answer to a report, with no direct call under way: then
     /// no `run` of that attempt can still arrive, since earlier answers have been taken or dropped.
-    fn orders_for(&mut self, loom: &Id, answering: bool) -> Vec<Order> {
-        let Some(m) = self.looms.get_mut(loom) else { return Vec::new() };
+    fn orders_for(&mut self, machine: &Id, answering: bool) -> Vec<Order> {
+        let Some(m) = self.machines.get_mut(machine) else { return Vec::new() };
         let mut halts = Vec::new();
         let mut runs = Vec::new();
         let mut first = Vec::new();
@@ -402,7 +402,7 @@
             self.push.insert(id);
         }
         for id in std::mem::take(&mut self.push) {
-            let Some(m) = self.looms.get_mut(&id) else { continue };
+            let Some(m) = self.machines.get_mut(&id) else { continue };
             if m.cut && m.call.is_none() {
                 // What has not left would only wait there.
                 self.take_back(now, &id);
@@ -419,8 +419,8 @@
         let most = (ctx.set.state_rps / 4.0).max(1.0) as u32;
         while self.confirming < most {
             let Some(id) = self.confirm.pop_front() else { break };
-            let open = |m: &Loom| !m.ours && m.call.is_none() && !m.endpoint.is_empty() && m.shift > 0;
-            if self.looms.get(&id).is_some_and(open) {
+            let open = |m: &Machine| !m.ours && m.call.is_none() && !m.endpoint.is_empty() && m.shift > 0;
+            if self.machines.get(&id).is_some_and(open) {
                 self.call(ctx, &id, true);
             }
         }
@@ -428,19 +428,19 @@
 
     fn call(&mut self, ctx: &mut Ctx, id: &Id, confirms: bool) {
         let orders = self.orders_for(id, false);
-        let Some(m) = self.looms.get_mut(id) else { return };
+        let Some(m) = self.machines.get_mut(id) else { return };
         m.push = false;
         // With nothing to say it is asked only to confirm the token, or that it lives.
         if orders.is_empty() && m.ours && m.deaf == 0 && !confirms {
             return;
         }
-        let baton = (self.epoch << crate::leader::TOKEN_BITS) + m.bump;
+        let token = (self.epoch << crate::leader::TOKEN_BITS) + m.bump;
         let risky = !orders.is_empty();
-        let body = Orders { baton, shift: m.shift, orders };
+        let body = Orders { token, shift: m.shift, orders };
         let to = m.endpoint.clone();
         let wait = self.wait(LeadWait::Orders(id.clone()));
         let call = ctx.orders(to, body, wait);
-        if let Some(m) = self.looms.get_mut(id) {
+        if let Some(m) = self.machines.get_mut(id) {
             m.call = Some(call);
             m.confirms = confirms;
             m.risky = risky;
@@ -451,12 +451,12 @@
     pub(crate) fn orders_answer(
         &mut self,
         ctx: &mut Ctx,
-        loom: &Id,
+        machine: &Id,
         call: RequestId,
         result: Result<OrdersReply, IoError>,
     ) {
         let now = ctx.now.mono;
-        let Some(m) = self.looms.get_mut(loom) else { return };
+        let Some(m) = self.machines.get_mut(machine) else { return };
         if m.call != Some(call) {
             return;
         }
@@ -465,10 +465,10 @@
         let mut again = std::mem::take(&mut m.push);
         match result {
             Ok(OrdersReply::Executed(r)) | Ok(OrdersReply::Outdated(r)) => {
-                if r.loom == **loom {
+                if r.machine == **machine {
                     m.deaf = 0;
-                    self.report(ctx, loom, r, false);
-                    if let Some(m) = self.looms.get(loom) {
+                    self.report(ctx, machine, r, false);
+                    if let Some(m) = self.machines.get(machine) {
                         // What came up meanwhile.
                         again |= m.places.iter().any(|p| p.stage == Stage::Committed && !p.sent);
                     }
@@ -486,7 +486,7 @@
                     m.places.iter_mut().filter(|p| never.contains(&p.slot)).for_each(|p| p.sent = false);
                     // The answer to its next report can carry them, if it is not the machine's doing.
                     if e == IoError::NotSent {
-                        self.take_back(now, loom);
+                        self.take_back(now, machine);
                     }
                 } else if m.risky {
                     // It may be executed minutes later. A higher token makes the machine refuse it;
@@ -497,17 +497,17 @@
             }
         }
         if again {
-            self.push.insert(loom.clone());
+            self.push.insert(machine.clone());
         }
     }
 
     /// Releases what was to go to a machine and has not left.
-    fn take_back(&mut self, now: u64, loom: &Id) {
-        let Some(m) = self.looms.get(loom) else { return };
+    fn take_back(&mut self, now: u64, machine: &Id) {
+        let Some(m) = self.machines.get(machine) else { return };
         let unsent = |p: &&Placement| !p.sent && p.stage == Stage::Committed;
         let slots: Vec<u64> = m.places.iter().filter(unsent).map(|p| p.slot).collect();
         for slot in slots {
-            self.release(now, loom, slot, false);
+            self.release(now, machine, slot, false);
         }
     }
 
@@ -525,7 +525,7 @@
             let patience = (report / 2).max(report * 8 / u64::from(all.max(1)));
             // Machines that hang on to a lost leader need a while to come.
             let heard = newest.max(self.took_at + report * 2);
-            if !self.looms.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience {
+            if !self.machines.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience {
                 self.down = Some(UNHEARD);
             }
             return;
@@ -543,8 +543,8 @@
             ctx.log(Severity::Info, format!("zone {z} is silent: nothing new goes there"));
         }
         self.zones_cut = silent;
-        for m in self.looms.values_mut() {
-            let cut = self.zones_cut.contains(&m.hall) && m.heard.is_some();
+        for m in self.machines.values_mut() {
+            let cut = self.zones_cut.contains(&m.zone) && m.heard.is_some();
             if cut && !m.cut && m.places.iter().any(|p| !p.sent) {
                 self.push.insert(m.id.clone());
             }
@@ -554,9 +554,9 @@
     }
 
     /// A machine that is going away: what cannot finish in time is stopped, to go on elsewhere.
-    fn drain(&mut self, ctx: &Ctx, loom: &Id) {
+    fn drain(&mut self, ctx: &Ctx, machine: &Id) {
         let now = ctx.now.mono;
-        let Some(m) = self.looms.get_mut(loom) else { return };
+        let Some(m) = self.machines.get_mut(machine) else { return };
         let Some(end) = m.warned else { return };
         for p in &mut m.places {
             if p.halt.is_some() {
@@ -569,7 +569,7 @@
             if job.is_service() || rest > left {
                 let wind = if job.spec.mark_every_s > 0.0 { job.spec.mark_takes_s } else { 0.0 };
                 p.halt = Some(wind);
-                self.push.insert(loom.clone());
+                self.push.insert(machine.clone());
             }
         }
     }
@@ -582,7 +582,7 @@
     pub(crate) fn watch_speed(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
         let mut found: Vec<Id> = Vec::new();
-        for m in self.looms.values() {
+        for m in self.machines.values() {
             let (mut runs, mut over) = (0, 0);
             for p in &m.places {
                 let Some(since) = p.running.filter(|_| p.halt.is_none()) else { continue };
@@ -598,7 +598,7 @@
             }
         }
         for id in found {
-            if let Some(m) = self.looms.get_mut(&id) {
+            if let Some(m) = self.machines.get_mut(&id) {
                 if now >= m.slow_until {
                     ctx.log(Severity::Debug, format!("machine {id} is slow"));
                 }
@@ -614,15 +614,15 @@
         let now = ctx.now.mono;
         // Reports come a quarter of an interval late at most.
         let late = ctx.set.report_ms() * 13 / 10;
-        let overdue = |m: &&Loom| m.heard.is_some_and(|h| now.saturating_sub(h) > late) && !m.leaving && !m.cut;
-        let all: Vec<Id> = self.looms.values().filter(overdue).map(|m| m.id.clone()).collect();
-        self.few_overdue = all.len() <= (self.looms.len() / 50).max(2);
+        let overdue = |m: &&Machine| m.heard.is_some_and(|h| now.saturating_sub(h) > late) && !m.leaving && !m.cut;
+        let all: Vec<Id> = self.machines.values().filter(overdue).map(|m| m.id.clone()).collect();
+        self.few_overdue = all.len() <= (self.machines.len() / 50).max(2);
         if !self.few_overdue {
             return;
         }
         for id in all {
-            let asks = |m: &Loom| !m.owned && !m.places.is_empty() && m.call.is_none() && now >= m.call_after;
-            if self.looms.get(&id).is_some_and(asks) {
+            let asks = |m: &Machine| !m.owned && !m.places.is_empty() && m.call.is_none() && now >= m.call_after;
+            if self.machines.get(&id).is_some_and(asks) {
                 self.call(ctx, &id, true);
             }
         }
@@ -631,9 +631,9 @@
     /// Whether no controller in a zone can still keep the lease of a machine last heard at a time:
     /// each has said, a lease later, that it kept none since; or it has not heard from us for so
     /// long that its term is over, and a lease as well.
-    fn not_kept(ctx: &Ctx, hall: &str, heard: u64) -> bool {
+    fn not_kept(ctx: &Ctx, zone: &str, heard: u64) -> bool {
         let (now, lease) = (ctx.now.mono, ctx.set.lease_over_ms());
-        ctx.keepers.values().filter(|k| k.hall == hall || hall.is_empty()).all(|k| {
+        ctx.keepers.values().filter(|k| k.zone == zone || zone.is_empty()).all(|k| {
             let said = k.sent_after >= heard.max(k.kept) + lease;
             let over = now > heard.max(k.heard + ctx.set.blind_ms()) + lease;
             said || over
@@ -646,13 +646,13 @@
         let set = ctx.set.clone();
         let mut silent: Vec<Id> = Vec::new();
         let mut there: BTreeMap<&str, u32> = BTreeMap::new();
-        for m in self.looms.values().filter(|m| m.heard.is_some_and(|h| now - h < set.lease_over_ms())) {
-            *there.entry(&m.hall).or_default() += 1;
+        for m in self.machines.values().filter(|m| m.heard.is_some_and(|h| now - h < set.lease_over_ms())) {
+            *there.entry(&m.zone).or_default() += 1;
         }
         for (zone, z) in &mut self.zones_heard {
             z.1 = there.get(zone.as_str()).copied().unwrap_or(0);
         }
-        for m in self.looms.values() {
+        for m in self.machines.values() {
             if m.places.is_empty() {
                 continue;
             }
@@ -660,12 +660,12 @@
             // that leader could go without news of this epoch.
             let heard = m.heard.unwrap_or(0);
             let last = if m.ours { heard } else { heard.max(self.took_at + set.blind_ms()) };
-            if now.saturating_sub(last) > set.lease_over_ms() && Self::not_kept(ctx, &m.hall, heard) {
+            if now.saturating_sub(last) > set.lease_over_ms() && Self::not_kept(ctx, &m.zone, heard) {
                 silent.push(m.id.clone());
             }
         }
         for id in silent {
-            let Some(m) = self.looms.get(&id) else { continue };
+            let Some(m) = self.machines.get(&id) else { continue };
             let slots: Vec<u64> = m.places.iter().map(|p| p.slot).collect();
             ctx.log(Severity::Info, format!("machine {id} silent for a lease: {} tasks given up", slots.len()));
             for slot in slots {
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -176,12 +176,12 @@
 impl Front {
     /// Why a job can never run, if so.
     fn refusal(ctx: &Ctx, s: &Submission) -> Option<&'static str> {
-        let Some(team) = ctx.set.teams.get(&s.crew) else { return Some("unknown team") };
+        let Some(team) = ctx.set.teams.get(&s.team) else { return Some("unknown team") };
         let catalog = ctx.catalog.as_ref()?;
         let need = s.need();
         let allowed = |f: &&shaleshunt_wire::cloud::Frame| {
             s.frames.as_ref().is_none_or(|names| names.contains(&f.name))
-                && s.hall.as_ref().is_none_or(|h| f.halls.is_empty() || f.halls.contains(h))
+                && s.zone.as_ref().is_none_or(|h| f.zones.is_empty() || f.zones.contains(h))
         };
         if !catalog.frames.iter().filter(allowed).any(|f| f.room().fits(&need)) {
             return Some("a task fits no allowed machine type");
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -86,7 +86,7 @@
     load_retry: Vec<(&'static str, String, u64)>,
     block_pairs: Vec<Pair>,
     page_pairs: Vec<Pair>,
-    old_looms: Vec<Pair>,
+    old_machines: Vec<Pair>,
     old_done: Vec<Pair>,
     part_pairs: Vec<Pair>,
     large: Vec<(LargeRecord, u64)>,
@@ -104,7 +104,7 @@
     pub(crate) attempts: u64,
     slots: u64,
     pub(crate) jobs: BTreeMap<Id, Job>,
-    pub(crate) looms: BTreeMap<Id, Loom>,
+    pub(crate) machines: BTreeMap<Id, Machine>,
     pub(crate) pages: Pages,
     /// Who awaits whom.
     pub(crate) stages: Stages,
@@ -195,7 +195,7 @@
             load_retry: Vec::new(),
             block_pairs: Vec::new(),
             page_pairs: Vec::new(),
-            old_looms: Vec::new(),
+            old_machines: Vec::new(),
             old_done: Vec::new(),
             part_pairs: Vec::new(),
             large: Vec::new(),
@@ -210,7 +210,7 @@
             attempts: 0,
             slots: 0,
             jobs: BTreeMap::new(),
-            looms: BTreeMap::new(),
+            machines: BTreeMap::new(),
             pages: Pages::default(),
             stages: Stages::default(),
             touches: 0,
@@ -268,7 +268,7 @@
         };
         l.writes = ctx.limits.rate() * ctx.tune.write_share;
         let mine = [keys::JOBS, keys::PARTS, keys::PAGES, keys::BLOCKS, keys::HIRES, "c/"];
-        for prefix in mine.into_iter().chain([keys::OLD_DONE, keys::OLD_LOOMS]) {
+        for prefix in mine.into_iter().chain([keys::OLD_DONE, keys::OLD_MACHINES]) {
             l.load(ctx, prefix, String::new());
         }
         l
@@ -297,7 +297,7 @@
                 keys::PAGES => self.page_pairs.push(pair),
                 keys::BLOCKS => self.block_pairs.push(pair),
                 keys::OLD_DONE => self.old_done.push(pair),
-                keys::OLD_LOOMS => self.old_looms.push(pair),
+                keys::OLD_MACHINES => self.old_machines.push(pair),
                 keys::HIRES => {
                     if let Ok(hire) = serde_json::from_value::<shaleshunt_wire::cloud::Hire>(pair.v) {
                         let state = HireState {
@@ -364,16 +364,16 @@
             self.queue_write(now, id);
         }
         // A zone may be cut off already: its machines have two reporting intervals to be heard.
-        for m in self.looms.values().filter(|m| !m.hall.is_empty()) {
-            let z = self.zones_heard.entry(m.hall.clone()).or_insert((now + ctx.set.report_ms() * 2, 0));
+        for m in self.machines.values().filter(|m| !m.zone.is_empty()) {
+            let z = self.zones_heard.entry(m.zone.clone()).or_insert((now + ctx.set.report_ms() * 2, 0));
             z.1 += 1;
         }
         // All are asked, some at a time, so that the new token is confirmed before the next report.
         self.confirm =
-            self.looms.values().filter(|m| !m.endpoint.is_empty() && m.shift > 0).map(|m| m.id.clone()).collect();
+            self.machines.values().filter(|m| !m.endpoint.is_empty() && m.shift > 0).map(|m| m.id.clone()).collect();
         ctx.log(
             Severity::Info,
-            format!("epoch {}: read {} jobs, {} machines", self.epoch, self.jobs.len(), self.looms.len()),
+            format!("epoch {}: read {} jobs, {} machines", self.epoch, self.jobs.len(), self.machines.len()),
         );
         self.watch(ctx);
     }
@@ -382,40 +382,41 @@
         let Ok(n) = pair.path[keys::BLOCKS.len()..].parse::<u32>() else { return };
         let Ok(rec) = serde_json::from_value::<BlockRecord>(pair.v) else { return };
         let images: Vec<(u32, f64)> = rec.i.iter().map(|(name, gb)| (self.image(name), *gb)).collect();
-        let mut block = Block { hall: rec.z.clone(), stamp: pair.stamp, wrote: ctx.now.mono, ..Block::default() };
+        let mut block = Block { zone: rec.z.clone(), stamp: pair.stamp, wrote: ctx.now.mono, ..Block::default() };
         for (name, r) in rec.m {
             let id: Id = name.as_str().into();
             // In two blocks only if its move between them was not finished: either will do.
-            if self.looms.contains_key(&id) {
+            if self.machines.contains_key(&id) {
                 continue;
             }
-            let mut m = self.new_loom(ctx, &id, &r.f, &rec.z, r.b, r.o);
+            let mut m = self.new_machine(ctx, &id, &r.f, &rec.z, r.b, r.o);
             (m.endpoint, m.shift, m.hired) = (r.e, r.s, r.t);
             m.images = r.i.iter().filter_map(|i| images.get(*i as usize).copied()).collect();
             (m.block, m.recorded) = (Some(n), true);
             block.owned = r.o;
-            block.looms.insert(id.clone());
-            self.looms.insert(id, m);
+            block.machines.insert(id.clone());
+            self.machines.insert(id, m);
         }
         self.newest_block = self.newest_block.max(n);
         self.blocks.insert(n, block);
     }
 
     /// A placement that an earlier leader committed. That of a task whose outcome is committed is void.
-    pub(crate) fn placed_before(&mut self, ctx: &Ctx, id: &Id, loom: &Id, shift: u64, attempt: u64, piece: u32) {
+    pub(crate) fn placed_before(&mut self, ctx: &Ctx, id: &Id, machine: &Id, shift: u64, attempt: u64, piece: u32) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.done.get(piece) && piece < j.spec.pieces) else { return };
-        let known = job.live.get(&piece).is_some_and(|l| l.iter().any(|l| l.loom == *loom && l.attempt == attempt));
+        let known =
+            job.live.get(&piece).is_some_and(|l| l.iter().any(|l| l.machine == *machine && l.attempt == attempt));
         if known {
             return;
         }
         let (need, image, gb) = (job.need, job.image, job.spec.image_gb);
-        if !self.looms.contains_key(loom) {
+        if !self.machines.contains_key(machine) {
             // Gone by a return after which its jobs' records were not written any more, or not
             // recorded: it counts until its silence or another return proves it gone.
-            let m = self.new_loom(ctx, loom, "", "", false, false);
-            self.looms.insert(loom.clone(), m);
+            let m = self.new_machine(ctx, machine, "", "", false, false);
+            self.machines.insert(machine.clone(), m);
         }
-        if let Some(m) = self.looms.get_mut(loom)
+        if let Some(m) = self.machines.get_mut(machine)
             && !m.has_image(image)
         {
             m.images.push((image, gb));
@@ -434,7 +435,7 @@
             running: None,
             halt: None,
         };
-        self.put(loom, p);
+        self.put(machine, p);
     }
 
     /// Records as version 0.1 kept them: machines with placements, and outcomes by themselves. A
@@ -459,14 +460,14 @@
             }
             self.legacy.insert(pair.path, pair.stamp);
         }
-        for pair in std::mem::take(&mut self.old_looms) {
-            let name: Id = pair.path[keys::OLD_LOOMS.len()..].into();
+        for pair in std::mem::take(&mut self.old_machines) {
+            let name: Id = pair.path[keys::OLD_MACHINES.len()..].into();
             self.legacy.insert(pair.path, pair.stamp);
-            let Ok(rec) = serde_json::from_value::<OldLoomRecord>(pair.v) else { continue };
-            if !self.looms.contains_key(&name) {
-                let mut m = self.new_loom(ctx, &name, &rec.f, &rec.z, rec.b, rec.o);
+            let Ok(rec) = serde_json::from_value::<OldMachineRecord>(pair.v) else { continue };
+            if !self.machines.contains_key(&name) {
+                let mut m = self.new_machine(ctx, &name, &rec.f, &rec.z, rec.b, rec.o);
                 (m.endpoint, m.shift, m.hired) = (rec.e, rec.s, rec.t);
-                self.looms.insert(name.clone(), m);
+                self.machines.insert(name.clone(), m);
                 self.join_block(ctx, &name);
             }
             for (job, piece, attempt) in rec.p {
@@ -501,7 +502,7 @@
             for list in job.live.values().filter(|l| l.len() > 1) {
                 let latest = list.iter().map(|l| l.attempt).max().unwrap_or(0);
                 for l in list.iter().filter(|l| l.attempt < latest) {
-                    let places = self.looms.get_mut(&l.loom).map(|m| &mut m.places);
+                    let places = self.machines.get_mut(&l.machine).map(|m| &mut m.places);
                     if let Some(p) = places.and_then(|p| p.iter_mut().find(|p| p.slot == l.slot)) {
                         p.halt = Some(0.0);
                     }
@@ -729,12 +730,12 @@
     /// A line for operators: how much there is to do, and what holds it up.
     fn tell_state(&mut self, ctx: &mut Ctx) {
         let waiting: u32 = self.jobs.values().filter(|j| !j.aborted).map(Job::waiting).sum();
-        let used = self.looms.values().filter(|m| m.usable(ctx.now.mono, &ctx.set)).count();
+        let used = self.machines.values().filter(|m| m.usable(ctx.now.mono, &ctx.set)).count();
         let line = format!(
             "{} jobs, {waiting} tasks wait, {used} of {} machines usable; writes in {} transactions: {} for ends, \
              {} pages, {} blocks, {} others, {:.0} in hand; {} ends and {} jobs to write at once, {} later, {} pages{}",
             self.jobs.len(),
-            self.looms.len(),
+            self.machines.len(),
             self.written.transactions,
             self.written.ends,
             self.written.pages,
@@ -769,17 +770,17 @@
     }
 
     /// Token for a machine.
-    pub(crate) fn token(&self, m: &Loom) -> u64 {
+    pub(crate) fn token(&self, m: &Machine) -> u64 {
         (self.epoch << TOKEN_BITS) + m.bump
     }
 
-    pub(crate) fn new_loom(&self, ctx: &Ctx, id: &Id, frame: &str, hall: &str, borrowed: bool, owned: bool) -> Loom {
+    pub(crate) fn new_machine(&self, ctx: &Ctx, id: &Id, frame: &str, zone: &str, spot: bool, owned: bool) -> Machine {
         let room = ctx.catalog.as_ref().and_then(|c| c.frame(frame)).map(|f| f.room()).unwrap_or_default();
-        Loom {
+        Machine {
             id: id.clone(),
             frame: frame.into(),
-            hall: hall.into(),
-            borrowed,
+            zone: zone.into(),
+            spot,
             owned,
             endpoint: String::new(),
             shift: 0,
@@ -819,8 +820,8 @@
     }
 
     /// Puts a placement on a machine and counts it everywhere.
-    pub(crate) fn put(&mut self, loom: &Id, p: Placement) {
-        let Some(m) = self.looms.get_mut(loom) else { return };
+    pub(crate) fn put(&mut self, machine: &Id, p: Placement) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
         m.used.add(&p.need, 1);
         let list = job.live.entry(p.piece).or_default();
@@ -828,23 +829,23 @@
             job.placed += 1;
         }
         list.push(Live {
-            loom: loom.clone(),
+            machine: machine.clone(),
             slot: p.slot,
             attempt: p.attempt,
             shift: p.shift,
             planned: p.stage == Stage::Planned,
         });
-        *job.zones.entry(m.hall.clone()).or_default() += 1;
-        self.teams.entry(job.spec.crew.clone()).or_default().add(&p.need, 1);
-        let held = self.held.entry(job.spec.jobline.clone()).or_default();
+        *job.zones.entry(m.zone.clone()).or_default() += 1;
+        self.teams.entry(job.spec.team.clone()).or_default().add(&p.need, 1);
+        let held = self.held.entry(job.spec.class.clone()).or_default();
         held.all += 1;
         held.owned += i64::from(m.owned);
         m.places.push(p);
     }
 
     /// Takes a placement off a machine; the caller has the proof that it is gone.
-    pub(crate) fn release(&mut self, now: u64, loom: &Id, slot: u64, done: bool) -> Option<Placement> {
-        let m = self.looms.get_mut(loom)?;
+    pub(crate) fn release(&mut self, now: u64, machine: &Id, slot: u64, done: bool) -> Option<Placement> {
+        let m = self.machines.get_mut(machine)?;
         let at = m.places.iter().position(|p| p.slot == slot)?;
         let p = m.places.remove(at);
         m.used.add(&p.need, -1);
@@ -866,13 +867,13 @@
             if matches!(p.stage, Stage::Running | Stage::Flushing) {
                 job.running = job.running.saturating_sub(1);
             }
-            if let Some(n) = job.zones.get_mut(&m.hall) {
+            if let Some(n) = job.zones.get_mut(&m.zone) {
                 *n = n.saturating_sub(1);
             }
-            if let Some(t) = self.teams.get_mut(&job.spec.crew) {
+            if let Some(t) = self.teams.get_mut(&job.spec.team) {
                 t.add(&p.need, -1);
             }
-            if let Some(held) = self.held.get_mut(&job.spec.jobline) {
+            if let Some(held) = self.held.get_mut(&job.spec.class) {
                 held.all -= 1;
                 held.owned -= i64::from(m.owned);
             }
@@ -890,22 +891,22 @@
     /// Stops all tasks of a cancelled job. What never left is released at once.
     pub(crate) fn stop_job(&mut self, ctx: &mut Ctx, id: &Id) {
         let Some(job) = self.jobs.get(id) else { return };
-        let live: Vec<(Id, u64)> = job.live.values().flatten().map(|l| (l.loom.clone(), l.slot)).collect();
-        for (loom, slot) in live {
-            self.stop_place(ctx.now.mono, &loom, slot);
+        let live: Vec<(Id, u64)> = job.live.values().flatten().map(|l| (l.machine.clone(), l.slot)).collect();
+        for (machine, slot) in live {
+            self.stop_place(ctx.now.mono, &machine, slot);
         }
         self.queue_write(ctx.now.mono, id);
     }
 
     /// Stops a task at once; one whose `run` never left is released.
-    pub(crate) fn stop_place(&mut self, now: u64, loom: &Id, slot: u64) {
-        let Some(m) = self.looms.get_mut(loom) else { return };
+    pub(crate) fn stop_place(&mut self, now: u64, machine: &Id, slot: u64) {
+        let Some(m) = self.machines.get_mut(machine) else { return };
         let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { return };
         if p.sent {
             p.halt = Some(0.0);
-            self.push.insert(loom.clone());
+            self.push.insert(machine.clone());
         } else {
-            self.release(now, loom, slot, false);
+            self.release(now, machine, slot, false);
         }
     }
 
--- a/crates/core/src/limits.rs
+++ b/crates/core/src/limits.rs
@@ -78,7 +78,7 @@
     }
     /// Machines that are kept in one key: with images they take some 200 bytes each, and large values
     /// hold fewer than would fit, since a change writes them all.
-    pub fn block_looms(&self) -> usize {
+    pub fn block_machines(&self) -> usize {
         (self.value_bytes() / 200).clamp(1, (self.half_value / 180).max(9))
     }
     /// A request was called too large: what follows is smaller. False if it cannot be.
--- a/crates/core/src/limits/tests.rs
+++ b/crates/core/src/limits/tests.rs
@@ -9,7 +9,7 @@
 fn sizes_fit_both_limits_from_the_first_write_and_the_rate_falls_once() {
     let mut g = granted(Some(Limits { value_kb: 2.0, txn_ops: 8, write_rps: 21.0 }));
     assert_eq!((g.ops(), g.conditions(), g.page_bytes()), (8, 32, g.value_bytes()));
-    assert!(g.value_bytes() < 2048 && g.block_looms() * 200 <= g.value_bytes());
+    assert!(g.value_bytes() < 2048 && g.block_machines() * 200 <= g.value_bytes());
     assert_eq!(g.rate(), 30.0);
     assert!((0..3).all(|_| !g.refused(500, 3000)) && g.refused(500, 3000));
     assert!((0..9).all(|_| !g.refused(3000, 3000)), "the debt is paid first");
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -37,7 +37,7 @@
     /// Outcomes as version 0.1 kept them. Read at a takeover, removed once written anew.
     pub const OLD_DONE: &str = "d/";
     /// Machines and placements as version 0.1 kept them. Read and removed likewise.
-    pub const OLD_LOOMS: &str = "m/";
+    pub const OLD_MACHINES: &str = "m/";
     /// Hires under way.
     pub const HIRES: &str = "h/";
     /// The machine types.
@@ -68,7 +68,7 @@
     pub fn into_cancelled(mut self) -> JobRecord {
         self.s.awaits.clear();
         self.s.frames = None;
-        self.s.hall = None;
+        self.s.zone = None;
         self.s.bundle.clear();
         JobRecord { x: true, k: true, ..self }
     }
@@ -88,7 +88,7 @@
 
 /// A machine in a block's record.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct LoomRecord {
+pub struct MachineRecord {
     /// Type.
     pub f: String,
     /// Spot.
@@ -116,12 +116,12 @@
     #[serde(default)]
     pub i: Vec<(String, f64)>,
     /// The machines.
-    pub m: BTreeMap<String, LoomRecord>,
+    pub m: BTreeMap<String, MachineRecord>,
 }
 
 /// Record of a machine as version 0.1 kept it, with its placements.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct OldLoomRecord {
+pub struct OldMachineRecord {
     /// Type.
     pub f: String,
     /// Zone.
@@ -243,7 +243,7 @@
 #[derive(Debug, Clone)]
 pub struct Live {
     /// Machine.
-    pub loom: Id,
+    pub machine: Id,
     /// The placement's number inside this process.
     pub slot: u64,
     /// Attempt.
@@ -418,11 +418,11 @@
 #[derive(Debug, Default)]
 pub struct Block {
     /// Zone.
-    pub hall: String,
+    pub zone: String,
     /// Whether its machines are owned.
     pub owned: bool,
     /// The machines.
-    pub looms: BTreeSet<Id>,
+    pub machines: BTreeSet<Id>,
     /// Version of its record, 0 if there is none.
     pub stamp: u64,
     /// When it was last written: images are noted now and then.
@@ -433,15 +433,15 @@
 
 /// A machine.
 #[derive(Debug)]
-pub struct Loom {
+pub struct Machine {
     /// Name.
     pub id: Id,
     /// Type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    pub zone: String,
     /// Spot.
-    pub borrowed: bool,
+    pub spot: bool,
     /// Owned: never returned for idleness.
     pub owned: bool,
     /// Address, empty until known.
@@ -514,7 +514,7 @@
     pub slow_until: u64,
 }
 
-impl Loom {
+impl Machine {
     /// Whether it answers and may get tasks.
     pub fn usable(&self, now: u64, set: &Settings) -> bool {
         self.recorded
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -90,7 +90,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Keeper {
     /// Its zone.
-    pub hall: String,
+    pub zone: String,
     /// When its last pulse came.
     pub heard: u64,
     /// That pulse was sent after this time: it shows that a pulse of ours of this time had come.
@@ -197,8 +197,8 @@
     /// or another: a restart may take less than any clock shows.
     pub fn new(set: Settings, tune: Tuning, now: Now, process: u64) -> Node {
         let peers = set.peers.iter().map(|(label, _)| (label.clone(), PeerView::default())).collect();
-        let keeper = |hall: &String| Keeper { hall: hall.clone(), ..Keeper::default() };
-        let keepers = set.peers.iter().map(|(label, hall)| (label.clone(), keeper(hall))).collect();
+        let keeper = |zone: &String| Keeper { zone: zone.clone(), ..Keeper::default() };
+        let keepers = set.peers.iter().map(|(label, zone)| (label.clone(), keeper(zone))).collect();
         Node {
             ctx: Ctx {
                 now,
@@ -297,10 +297,10 @@
                 _ => {}
             },
             Command::Orders(id, result) => {
-                if let Some((Wait::Lead(epoch, LeadWait::Orders(loom)), _)) = self.ctx.waits.remove(&id)
+                if let Some((Wait::Lead(epoch, LeadWait::Orders(machine)), _)) = self.ctx.waits.remove(&id)
                     && let Some(l) = self.leader.as_mut().filter(|l| l.epoch == epoch)
                 {
-                    l.orders_answer(&mut self.ctx, &loom, id, result);
+                    l.orders_answer(&mut self.ctx, &machine, id, result);
                 }
             }
             Command::Peer(from, frame) => self.peer(from, frame),
@@ -348,7 +348,7 @@
     fn checkin(&mut self, id: RequestId, report: Report) {
         // A token above our epoch's shows that there is a newer leader. Any 200 of ours would be
         // dropped and would hold the worker here while its lease runs out.
-        let theirs = report.baton >> crate::leader::TOKEN_BITS;
+        let theirs = report.token >> crate::leader::TOKEN_BITS;
         if self.leader.as_ref().is_some_and(|l| theirs > l.epoch) {
             self.deposed("a worker has seen a newer token");
         }
@@ -362,7 +362,7 @@
             None => {
                 if let Some(orders) = self.keeps(&report) {
                     self.kept = Some(self.ctx.now.mono);
-                    self.ctx.answer(id, Answer::Report(ReportReply { baton: report.baton, orders }));
+                    self.ctx.answer(id, Answer::Report(ReportReply { token: report.token, orders }));
                     return;
                 }
                 let to = self.foreman.clone().filter(|f| *f != me);
@@ -387,8 +387,8 @@
         let sure = self.heard.sure.min(self.sighted);
         let ours = self.heard.epoch > 0 && self.heard.epoch == self.epoch && sure > 0;
         let unheard = now.saturating_sub(self.heard.at) > set.report_ms() / 2;
-        let token = report.baton >> crate::leader::TOKEN_BITS == self.heard.epoch;
-        if !(ours && unheard && token && report.hall == set.location && now < sure + term) {
+        let token = report.token >> crate::leader::TOKEN_BITS == self.heard.epoch;
+        if !(ours && unheard && token && report.zone == set.location && now < sure + term) {
             return None;
         }
         let cancelled = |piece: &str| {
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -140,10 +140,10 @@
             match job.live.get(piece) {
                 Some(list) => {
                     for l in list {
-                        let key = (&l.loom, l.shift, l.attempt);
+                        let key = (&l.machine, l.shift, l.attempt);
                         placed.entry(key).or_insert_with(|| Fact::new(&job.id)).push(*piece);
                         if l.planned {
-                            plans.push((l.loom.clone(), l.slot));
+                            plans.push((l.machine.clone(), l.slot));
                         }
                     }
                 }
@@ -151,8 +151,8 @@
             }
         }
         let mut facts: Vec<Fact> = [done, free].into_iter().filter(|f| !f.n.is_empty()).collect();
-        facts.extend(placed.into_iter().map(|((loom, shift, attempt), mut fact)| {
-            fact.m = Some((loom.to_string(), shift, attempt));
+        facts.extend(placed.into_iter().map(|((machine, shift, attempt), mut fact)| {
+            fact.m = Some((machine.to_string(), shift, attempt));
             fact
         }));
         Told { facts, plans, taken }
@@ -372,7 +372,7 @@
             self.pages.newest = self.pages.newest.max(number + 1);
             for fact in rec.e {
                 let Some(job) = self.jobs.get_mut(fact.j.as_str()) else { continue };
-                let place = fact.m.map(|(loom, shift, attempt)| (Id::from(loom.as_str()), shift, attempt));
+                let place = fact.m.map(|(machine, shift, attempt)| (Id::from(machine.as_str()), shift, attempt));
                 let facts = last.entry(job.id.clone()).or_default();
                 for (from, len) in fact.n {
                     for piece in from..from.saturating_add(len).min(job.spec.pieces) {
@@ -395,8 +395,8 @@
             }
             for (piece, (number, place)) in facts {
                 self.pages.count(number, &id, 1);
-                if let Some((loom, shift, attempt)) = place {
-                    self.placed_before(ctx, &id, &loom, shift, attempt, piece);
+                if let Some((machine, shift, attempt)) = place {
+                    self.placed_before(ctx, &id, &machine, shift, attempt, piece);
                 }
             }
         }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -38,8 +38,8 @@
     fn of(job: &Job) -> Demand {
         Demand {
             need: job.need,
-            spot: job.spec.borrowed,
-            zone: job.spec.hall.clone(),
+            spot: job.spec.spot,
+            zone: job.spec.zone.clone(),
             machine_types: job.spec.frames.clone(),
             service: job.is_service(),
         }
@@ -50,9 +50,9 @@
     fn includes(&self, job: &Job) -> bool {
         let spec = &job.spec;
         job.need.fits(&self.need)
-            && (self.spot || !spec.borrowed)
+            && (self.spot || !spec.spot)
             && (self.service || !job.is_service())
-            && (self.zone.is_none() || self.zone == spec.hall)
+            && (self.zone.is_none() || self.zone == spec.zone)
             && (self.machine_types.is_none() || self.machine_types == spec.frames)
     }
 }
@@ -60,7 +60,7 @@
 impl Leader {
     /// Estimated run time of a job's task: the owner's, corrected by what its class did.
     pub(crate) fn estimate(&self, job: &Job) -> f64 {
-        let l = self.learned.get(&job.spec.jobline).copied().unwrap_or_default();
+        let l = self.learned.get(&job.spec.class).copied().unwrap_or_default();
         // The owner's word counts as much as ten tasks' worth of what was seen.
         let weight = job.spec.expect_s * 10.0;
         let bias = if weight > 0.0 { (l.actual + weight) / (l.expected + weight) } else { 1.0 };
@@ -81,37 +81,37 @@
 
     /// Whether a job's class is to start more quickly than its image can be fetched.
     fn hasty(&self, ctx: &Ctx, job: &Job) -> bool {
-        let quick = ctx.set.aims.get(&job.spec.jobline).and_then(Aim::start);
+        let quick = ctx.set.aims.get(&job.spec.class).and_then(Aim::start);
         quick.is_some_and(|s| s < self.fetch_s(ctx, job))
     }
 
     /// Whether a job's rules allow this machine, room and zone balance aside.
-    pub(crate) fn allows(job: &Job, frame: &str, hall: &str, borrowed: bool) -> bool {
+    pub(crate) fn allows(job: &Job, frame: &str, zone: &str, spot: bool) -> bool {
         let s = &job.spec;
-        (s.borrowed || !borrowed)
+        (s.spot || !spot)
             && s.frames.as_ref().is_none_or(|f| f.iter().any(|n| n == frame))
-            && s.hall.as_ref().is_none_or(|h| h == hall)
+            && s.zone.as_ref().is_none_or(|h| h == zone)
     }
 
     /// Whether a further task of the job may be in this zone, given its other tasks.
-    pub(crate) fn zone_fits(job: &Job, hall: &str) -> bool {
-        Self::zone_room(job, hall) > 0
+    pub(crate) fn zone_fits(job: &Job, zone: &str) -> bool {
+        Self::zone_room(job, zone) > 0
     }
 
     /// How many further tasks of the job may be in this zone. Those of which the zone is not known
     /// yet count everywhere.
-    pub(crate) fn zone_room(job: &Job, hall: &str) -> u32 {
+    pub(crate) fn zone_room(job: &Job, zone: &str) -> u32 {
         let at = |z: &str| job.zones.get(z).copied().unwrap_or(0);
-        if job.spec.one_zone && job.zones.iter().any(|(z, &n)| n > 0 && z != hall) {
+        if job.spec.one_zone && job.zones.iter().any(|(z, &n)| n > 0 && z != zone) {
             return 0;
         }
-        job.zone_cap().saturating_sub(at(hall)).saturating_sub(at(""))
+        job.zone_cap().saturating_sub(at(zone)).saturating_sub(at(""))
     }
 
     /// How many further tasks of the job its team's limit allows.
     fn team_room(&self, ctx: &Ctx, job: &Job) -> u32 {
-        let Some(team) = ctx.set.teams.get(&job.spec.crew) else { return 0 };
-        let used = self.teams.get(&job.spec.crew).copied().unwrap_or_default();
+        let Some(team) = ctx.set.teams.get(&job.spec.team) else { return 0 };
+        let used = self.teams.get(&job.spec.team).copied().unwrap_or_default();
         team.room(&used, &job.need)
     }
 
@@ -152,14 +152,14 @@
     /// fills the machines that cannot be taken away, where a task that would lose most is safe.
     fn spot_below(&self, ctx: &Ctx) -> f64 {
         let now = ctx.now.mono;
-        let safe = self.looms.values().filter(|m| !m.borrowed && m.answers(now, &ctx.set));
+        let safe = self.machines.values().filter(|m| !m.spot && m.answers(now, &ctx.set));
         let mut left: i64 = safe.map(|m| m.room.cores).sum();
         let mut may_move = Vec::new();
         for j in self.jobs.values().filter(|j| !j.aborted && !j.awaits()) {
             let cores = j.need.cores * i64::from(j.spec.pieces - j.done_count.min(j.spec.pieces));
-            if j.spec.borrowed && !j.sent_out {
+            if j.spec.spot && !j.sent_out {
                 may_move.push((self.estimate(j), cores));
-            } else if !j.spec.borrowed {
+            } else if !j.spec.spot {
                 left -= cores;
             }
         }
@@ -179,7 +179,7 @@
         let mut stages: BTreeMap<&str, Vec<&Job>> = BTreeMap::new();
         let open = |j: &&Job| !j.aborted && !j.stale && now >= j.not_before && j.waiting() > 0;
         for j in self.jobs.values().filter(open).filter(|j| !j.is_service() && j.due().is_none()) {
-            stages.entry(&j.spec.jobline).or_default().push(j);
+            stages.entry(&j.spec.class).or_default().push(j);
         }
         let mut behind: BTreeMap<&Id, u8> = BTreeMap::new();
         for (stage, jobs) in stages {
@@ -195,8 +195,8 @@
         let mut sums: BTreeMap<&str, Room> = BTreeMap::new();
         let mut fits = BTreeSet::new();
         for j in by_age {
-            let Some(team) = ctx.set.teams.get(&j.spec.crew) else { continue };
-            let sum = sums.entry(&j.spec.crew).or_default();
+            let Some(team) = ctx.set.teams.get(&j.spec.team) else { continue };
+            let sum = sums.entry(&j.spec.team).or_default();
             sum.add(&j.need, i64::from(j.spec.pieces));
             if team.guarantees(sum) {
                 fits.insert(j.id.clone());
@@ -268,9 +268,9 @@
     /// A stage's slots on all machines that its jobs may use.
     fn all_slots(&self, ctx: &Ctx, stage: &str, job: &Job) -> i64 {
         let free: i64 = self
-            .looms
+            .machines
             .values()
-            .filter(|m| m.usable(ctx.now.mono, &ctx.set) && Self::allows(job, &m.frame, &m.hall, m.borrowed))
+            .filter(|m| m.usable(ctx.now.mono, &ctx.set) && Self::allows(job, &m.frame, &m.zone, m.spot))
             .map(|m| m.free().times(&job.need, 100_000))
             .sum();
         free + self.held.get(stage).map_or(0, |h| h.all)
@@ -304,7 +304,7 @@
             let known_full = full.iter().any(|demand| demand.includes(job));
             let seats = if known_full { Vec::new() } else { self.seats(ctx, job, most, None) };
             if !known_full {
-                ctx.work.machines_examined += self.looms.len() as u64;
+                ctx.work.machines_examined += self.machines.len() as u64;
             }
             let free_choice = !job.spec.one_zone && !job.spec.scatter;
             // A job that keeps off machines where it failed says nothing about those.
@@ -322,30 +322,30 @@
                 let Some(piece) = self.jobs.get(&id).and_then(|j| j.next_free(from)) else { break };
                 // Room made elsewhere may have taken what a zone could still have.
                 let fits = |l: &Id| {
-                    let hall = self.looms.get(l).map(|m| m.hall.as_str());
-                    self.jobs.get(&id).zip(hall).is_some_and(|(j, h)| Self::zone_fits(j, h))
+                    let zone = self.machines.get(l).map(|m| m.zone.as_str());
+                    self.jobs.get(&id).zip(zone).is_some_and(|(j, h)| Self::zone_fits(j, h))
                 };
-                let mut loom = seats.find(fits);
+                let mut machine = seats.find(fits);
                 // Room without the image is as good as none where starts are to be quicker than a fetch.
-                let fetches = |m: &Loom| !m.has_image(image);
-                let poor = hasty && loom.as_ref().and_then(|l| self.looms.get(l)).is_some_and(fetches);
-                if (loom.is_none() || poor) && stops > 0 && may_stop {
+                let fetches = |m: &Machine| !m.has_image(image);
+                let poor = hasty && machine.as_ref().and_then(|l| self.machines.get(l)).is_some_and(fetches);
+                if (machine.is_none() || poor) && stops > 0 && may_stop {
                     // Whether there is something to stop or not: looking takes its time.
                     stops -= 1;
                     let made = self.make_room(ctx, &id, poor);
-                    loom = made.or(loom);
+                    machine = made.or(machine);
                 }
-                let Some(loom) = loom else { break };
+                let Some(machine) = machine else { break };
                 from = piece + 1;
-                self.plan(now, &id, piece, &loom, attempt);
+                self.plan(now, &id, piece, &machine, attempt);
             }
         }
     }
 
     /// Puts a plan for a task on a machine; nothing leaves before it is committed.
-    fn plan(&mut self, now: u64, id: &Id, piece: u32, loom: &Id, attempt: u64) -> u64 {
+    fn plan(&mut self, now: u64, id: &Id, piece: u32, machine: &Id, attempt: u64) -> u64 {
         let slot = self.next_slot();
-        let Some(shift) = self.looms.get(loom).map(|m| m.shift) else { return slot };
+        let Some(shift) = self.machines.get(machine).map(|m| m.shift) else { return slot };
         if let Some(job) = self.jobs.get_mut(id) {
             job.cursor = job.cursor.max(piece);
             let p = Placement {
@@ -362,7 +362,7 @@
                 running: None,
                 halt: None,
             };
-            self.put(loom, p);
+            self.put(machine, p);
             self.touch(now, id, piece, true);
         }
         slot
@@ -379,8 +379,8 @@
         if self.team_room(ctx, job) < most {
             return;
         }
-        let zones: Vec<Option<String>> = if job.spec.one_zone && job.spec.hall.is_none() {
-            let zones: BTreeSet<String> = self.looms.values().map(|m| m.hall.clone()).collect();
+        let zones: Vec<Option<String>> = if job.spec.one_zone && job.spec.zone.is_none() {
+            let zones: BTreeSet<String> = self.machines.values().map(|m| m.zone.clone()).collect();
             zones.into_iter().map(Some).collect()
         } else {
             vec![None]
@@ -393,10 +393,10 @@
             }
             let attempt = self.next_attempt();
             let mut from = 0;
-            for loom in seats {
+            for machine in seats {
                 let Some(piece) = self.jobs.get(id).and_then(|j| j.next_free(from)) else { return };
                 from = piece + 1;
-                self.plan(now, id, piece, &loom, attempt);
+                self.plan(now, id, piece, &machine, attempt);
             }
             return;
         }
@@ -408,7 +408,7 @@
     fn seats(&self, ctx: &Ctx, job: &Job, most: u32, zone: Option<&str>) -> Vec<Id> {
         struct Seat<'a> {
             fit: Fit,
-            loom: &'a Loom,
+            machine: &'a Machine,
             times: u32,
             mates: usize,
         }
@@ -416,21 +416,21 @@
         let cap = shaleshunt_wire::MAX_BODY / 128;
         let apart = job.is_service() || job.spec.scatter;
         let hasty = self.hasty(ctx, job);
-        let spot = job.spec.borrowed && (job.sent_out || self.estimate(job) < self.spot_below);
+        let spot = job.spec.spot && (job.sent_out || self.estimate(job) < self.spot_below);
         // What more urgent work may stop is spread out, so that such work finds room beside it on a
         // machine that holds its image.
         let yielding = job.urgency <= Urgency::Normal && !hasty && !job.is_gang();
         let mut seats: Vec<Seat> = Vec::new();
-        for m in self.looms.values() {
+        for m in self.machines.values() {
             if !m.free().fits(&job.need) || !m.usable(now, &ctx.set) || m.places.len() >= cap {
                 continue;
             }
-            if !Self::allows(job, &m.frame, &m.hall, m.borrowed)
+            if !Self::allows(job, &m.frame, &m.zone, m.spot)
                 || job.failed_on.len() < 3 && job.failed_on.contains(&m.id)
                 || m.sick_times > 0 && !m.places.is_empty()
                 || m.slow_until > now && !job.is_service()
-                || zone.is_some_and(|z| z != m.hall)
-                || Self::zone_room(job, &m.hall) == 0
+                || zone.is_some_and(|z| z != m.zone)
+                || Self::zone_room(job, &m.zone) == 0
             {
                 continue;
             }
@@ -444,36 +444,36 @@
             };
             // What is sent out goes to rented machines, and so does what is short; the rest keeps off
             // those that may be taken.
-            let kind = u8::from(m.borrowed != spot);
+            let kind = u8::from(m.spot != spot);
             let first = if hasty { (image, kind) } else { (kind, u8::from(image > 0)) };
             let times = if m.sick_times > 0 { 1 } else { m.free().times(&job.need, i64::from(most)) as u32 };
             let times = times.min((cap - m.places.len()) as u32);
             let mates = if apart { m.places.iter().filter(|p| p.job == job.id).count() } else { 0 };
             let free = if yielding { -m.free().cores } else { m.free().cores };
-            seats.push(Seat { fit: (m.sick_times > 0, first, !m.owned, free), loom: m, times, mates });
+            seats.push(Seat { fit: (m.sick_times > 0, first, !m.owned, free), machine: m, times, mates });
         }
         let mut found = Vec::new();
         if apart {
             // Zones and machines are looked at anew for each task.
             let mut zones: BTreeMap<&str, u32> = BTreeMap::new();
             for s in &seats {
-                let there = job.zones.get(&s.loom.hall).copied().unwrap_or(0);
-                zones.entry(&s.loom.hall).or_insert(there);
+                let there = job.zones.get(&s.machine.zone).copied().unwrap_or(0);
+                zones.entry(&s.machine.zone).or_insert(there);
             }
             while (found.len() as u32) < most {
-                let caps = |hall: &str| {
-                    let more = zones[hall] - job.zones.get(hall).copied().unwrap_or(0);
-                    more < Self::zone_room(job, hall)
+                let caps = |zone: &str| {
+                    let more = zones[zone] - job.zones.get(zone).copied().unwrap_or(0);
+                    more < Self::zone_room(job, zone)
                 };
-                let best = seats.iter_mut().filter(|s| s.times > 0 && caps(&s.loom.hall)).min_by_key(|s| {
+                let best = seats.iter_mut().filter(|s| s.times > 0 && caps(&s.machine.zone)).min_by_key(|s| {
                     let (sick, first, rented, free) = s.fit;
-                    (sick, first, s.mates, zones[s.loom.hall.as_str()], rented, free)
+                    (sick, first, s.mates, zones[s.machine.zone.as_str()], rented, free)
                 });
                 let Some(s) = best else { break };
                 s.times -= 1;
                 s.mates += 1;
-                *zones.entry(&s.loom.hall).or_default() += 1;
-                found.push(s.loom.id.clone());
+                *zones.entry(&s.machine.zone).or_default() += 1;
+                found.push(s.machine.id.clone());
             }
             return found;
         }
@@ -481,30 +481,30 @@
             // The zone with most room for it, unless some of it is somewhere already.
             let mut room: BTreeMap<&str, u32> = BTreeMap::new();
             for s in &seats {
-                *room.entry(&s.loom.hall).or_default() += s.times;
+                *room.entry(&s.machine.zone).or_default() += s.times;
             }
             let best = room.into_iter().max_by_key(|(_, n)| *n).map(|(z, _)| z.to_string());
-            seats.retain(|s| Some(&s.loom.hall) == best.as_ref());
+            seats.retain(|s| Some(&s.machine.zone) == best.as_ref());
         }
         // A job is done when its last task is: kept together, fewer jobs lose something to a zone's
         // cut. Where it has tasks already, else where most of it finds room.
         let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
         for s in &seats {
-            let there = job.zones.get(&s.loom.hall).copied().unwrap_or(0);
-            let room = zones.entry(&s.loom.hall).or_insert((there, 0));
+            let there = job.zones.get(&s.machine.zone).copied().unwrap_or(0);
+            let room = zones.entry(&s.machine.zone).or_insert((there, 0));
             room.1 += s.times;
         }
         let home = zones.into_iter().max_by_key(|(_, rank)| *rank).map(|(z, _)| z);
         seats.sort_by_key(|s| {
             let (sick, first, rented, free) = s.fit;
-            (sick, first, Some(s.loom.hall.as_str()) != home, rented, free)
+            (sick, first, Some(s.machine.zone.as_str()) != home, rented, free)
         });
         for s in seats {
             let left = most - found.len() as u32;
             if left == 0 {
                 break;
             }
-            found.extend((0..s.times.min(left)).map(|_| s.loom.id.clone()));
+            found.extend((0..s.times.min(left)).map(|_| s.machine.id.clone()));
         }
         found
     }
@@ -517,14 +517,14 @@
         let job = self.jobs.get(id)?;
         let guaranteed = &self.guaranteed;
         // Less urgent work; or, for a team's guarantee, what another team runs beyond its own.
-        let borrows = |crew: &str| {
-            let used = self.teams.get(crew).copied().unwrap_or_default();
-            ctx.set.teams.get(crew).is_some_and(|t| !t.guarantees(&used))
+        let borrows = |team: &str| {
+            let used = self.teams.get(team).copied().unwrap_or_default();
+            ctx.set.teams.get(team).is_some_and(|t| !t.guarantees(&used))
         };
         let due = !with_image && guaranteed.contains(id);
         let yields = |other: &Id| {
             let Some(j) = self.jobs.get(other) else { return false };
-            let back = due && j.spec.crew != job.spec.crew && !guaranteed.contains(&j.id) && borrows(&j.spec.crew);
+            let back = due && j.spec.team != job.spec.team && !guaranteed.contains(&j.id) && borrows(&j.spec.team);
             let back = back && j.urgency <= job.urgency && !j.is_service();
             j.spec.mark_every_s <= 0.0 && (j.urgency < job.urgency || back)
         };
@@ -533,9 +533,9 @@
         let mut best: Option<((bool, u64), Id, Vec<u64>)> = None;
         let mut looked = 0;
         let begin = self.sample_from.clone().map_or(Bound::Unbounded, Bound::Excluded);
-        let all = self.looms.range::<Id, _>((begin, Bound::Unbounded)).chain(self.looms.iter());
+        let all = self.machines.range::<Id, _>((begin, Bound::Unbounded)).chain(self.machines.iter());
         let mut last = None;
-        for (id, m) in all.take(self.looms.len()) {
+        for (id, m) in all.take(self.machines.len()) {
             if looked >= ctx.tune.sample as u32 {
                 break;
             }
@@ -543,8 +543,8 @@
             if !m.usable(now, &ctx.set)
                 || m.slow_until > now && !job.is_service()
                 || m.sick_times > 0
-                || !Self::allows(job, &m.frame, &m.hall, m.borrowed)
-                || !Self::zone_fits(job, &m.hall)
+                || !Self::allows(job, &m.frame, &m.zone, m.spot)
+                || !Self::zone_fits(job, &m.zone)
                 || !m.room.fits(&job.need)
                 || with_image && !m.has_image(job.image)
             {
@@ -585,12 +585,12 @@
         }
         let last = last.cloned();
         self.sample_from = last;
-        let (_, loom, victims) = best?;
-        ctx.log(Severity::Debug, format!("machine {loom}: {} tasks make room for {id}", victims.len()));
+        let (_, machine, victims) = best?;
+        ctx.log(Severity::Debug, format!("machine {machine}: {} tasks make room for {id}", victims.len()));
         for slot in victims {
-            self.stop_place(now, &loom, slot);
+            self.stop_place(now, &machine, slot);
         }
-        Some(loom)
+        Some(machine)
     }
 
     /// Marks deadline jobs whose tasks go to rented machines. Per stage: from the tail, what the
@@ -601,7 +601,7 @@
         let mut stages: BTreeMap<&str, Vec<(u64, &Id)>> = BTreeMap::new();
         for j in self.jobs.values().filter(|j| !j.aborted && j.due().is_some() && j.waiting() > 0) {
             let estimate = (self.estimate(j) * 1000.0) as u64;
-            stages.entry(&j.spec.jobline).or_default().push((estimate, &j.id));
+            stages.entry(&j.spec.class).or_default().push((estimate, &j.id));
         }
         let mut sent: Vec<Id> = Vec::new();
         for (stage, mut queue) in stages {
@@ -648,8 +648,12 @@
 
     /// A stage's owned slots: its tasks that fit in owned room now free or held by it.
     fn slots(&self, stage: &str, need: &Room) -> i64 {
-        let free: i64 =
-            self.looms.values().filter(|m| m.owned && m.heard.is_some()).map(|m| m.free().times(need, 100_000)).sum();
+        let free: i64 = self
+            .machines
+            .values()
+            .filter(|m| m.owned && m.heard.is_some())
+            .map(|m| m.free().times(need, 100_000))
+            .sum();
         free + self.held.get(stage).map_or(0, |h| h.owned)
     }
 }
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -47,11 +47,11 @@
             (LeadWait::Catalog, Ok(CloudReply::Catalog(c))) if !c.frames.is_empty() => {
                 // Kept at the state service too, so that nodes know the types in a cloud outage.
                 let types = |c: &shaleshunt_wire::cloud::Catalog| {
-                    c.frames.iter().map(|f| (f.name.clone(), f.room(), f.halls.clone())).collect::<Vec<_>>()
+                    c.frames.iter().map(|f| (f.name.clone(), f.room(), f.zones.clone())).collect::<Vec<_>>()
                 };
                 self.catalog_dirty |=
                     self.catalog_stamp.is_none() || ctx.catalog.as_ref().is_none_or(|old| types(old) != types(&c));
-                for m in self.looms.values_mut() {
+                for m in self.machines.values_mut() {
                     if let Some(f) = c.frame(&m.frame) {
                         m.room = f.room();
                     }
@@ -61,8 +61,8 @@
             }
             (LeadWait::Catalog, _) => self.prices_at = now + ctx.set.report_ms() / 2,
             (LeadWait::List, Ok(CloudReply::Page(page))) => {
-                let last = page.looms.last().map(|m| m.id.clone());
-                self.list_seen.extend(page.looms);
+                let last = page.machines.last().map(|m| m.id.clone());
+                self.list_seen.extend(page.machines);
                 match last {
                     Some(after) if page.truncated => {
                         let wait = self.wait(LeadWait::List);
@@ -83,12 +83,12 @@
             (LeadWait::Hire(name), result) => self.hired(ctx, &name, result),
             (LeadWait::Return(names), Ok(CloudReply::Returned)) => {
                 for id in names {
-                    self.loom_gone(ctx, &id);
+                    self.machine_gone(ctx, &id);
                 }
             }
             (LeadWait::Return(names), _) => {
                 for id in names {
-                    if let Some(m) = self.looms.get_mut(&id) {
+                    if let Some(m) = self.machines.get_mut(&id) {
                         m.returning = false;
                     }
                 }
@@ -98,16 +98,17 @@
     }
 
     /// A machine is proven gone, by a return that was answered 200.
-    fn loom_gone(&mut self, ctx: &mut Ctx, id: &Id) {
-        let slots: Vec<u64> = self.looms.get(id).map(|m| m.places.iter().map(|p| p.slot).collect()).unwrap_or_default();
+    fn machine_gone(&mut self, ctx: &mut Ctx, id: &Id) {
+        let slots: Vec<u64> =
+            self.machines.get(id).map(|m| m.places.iter().map(|p| p.slot).collect()).unwrap_or_default();
         for slot in slots {
             self.release(ctx.now.mono, id, slot, false);
         }
-        if let Some(m) = self.looms.remove(id) {
+        if let Some(m) = self.machines.remove(id) {
             ctx.log(Severity::Debug, format!("machine {id} returned"));
             self.confirming -= u32::from(m.confirms);
             if let Some(b) = m.block.and_then(|n| self.blocks.get_mut(&n)) {
-                b.looms.remove(id);
+                b.machines.remove(id);
                 self.thinned_blocks.extend(m.block);
             }
         }
@@ -116,13 +117,13 @@
 
     /// Whether a machine is owned became known.
     fn set_owned(&mut self, id: &Id, owned: bool) {
-        let Some(m) = self.looms.get_mut(id).filter(|m| m.owned != owned) else { return };
+        let Some(m) = self.machines.get_mut(id).filter(|m| m.owned != owned) else { return };
         m.owned = owned;
         if let Some(n) = m.block {
             self.dirty_blocks.insert(n);
         }
         for p in &m.places {
-            if let Some(held) = self.jobs.get(&p.job).and_then(|j| self.held.get_mut(&j.spec.jobline)) {
+            if let Some(held) = self.jobs.get(&p.job).and_then(|j| self.held.get_mut(&j.spec.class)) {
                 held.owned += if owned { 1 } else { -1 };
             }
         }
@@ -134,11 +135,8 @@
         // twice the lag.
         let settled = ctx.now.mono.saturating_sub(self.took_at) as f64 > ctx.set.list_lag_s * 2000.0;
         if self.owned.is_none() && (!list.is_empty() || settled) {
-            let owned: BTreeSet<String> = list
-                .iter()
-                .filter(|m| !m.borrowed && m.status == ListedStatus::Running)
-                .map(|m| m.id.clone())
-                .collect();
+            let owned: BTreeSet<String> =
+                list.iter().filter(|m| !m.spot && m.status == ListedStatus::Running).map(|m| m.id.clone()).collect();
             ctx.log(Severity::Info, format!("{} machines are owned", owned.len()));
             let most = ctx.limits.value_bytes();
             let mut parts: Vec<(usize, Vec<String>)> = vec![(0, Vec::new())];
@@ -158,16 +156,16 @@
         for x in list {
             let id: Id = x.id.as_str().into();
             let owned = self.owned.as_ref().is_some_and(|o| o.contains(&x.id));
-            if !self.looms.contains_key(&id) {
+            if !self.machines.contains_key(&id) {
                 // Lists lag: a machine that we returned lately may still be shown. It is taken for
                 // new and found silent; its return is answered 200 again.
-                let mut m = self.new_loom(ctx, &id, &x.frame, &x.hall, x.borrowed, owned);
+                let mut m = self.new_machine(ctx, &id, &x.frame, &x.zone, x.spot, owned);
                 m.hired = ctx.now.wall.saturating_sub((x.age_s.clamp(0.0, 1e9) * 1000.0) as u64);
                 // Known by list only: recorded when it reports.
-                self.looms.insert(id.clone(), m);
+                self.machines.insert(id.clone(), m);
             }
             self.set_owned(&id, owned);
-            let Some(m) = self.looms.get_mut(&id) else { continue };
+            let Some(m) = self.machines.get_mut(&id) else { continue };
             m.listed = true;
             if m.endpoint.is_empty() {
                 m.endpoint = x.endpoint;
@@ -201,21 +199,21 @@
         let Some(h) = self.hires.get_mut(name) else { return };
         h.asking = false;
         let hire = h.hire.clone();
-        let place = (hire.frame.clone(), hire.hall.clone(), hire.borrowed);
+        let place = (hire.frame.clone(), hire.zone.clone(), hire.spot);
         match result {
-            Ok(CloudReply::Hired(looms)) => {
-                let ids: Vec<Id> = looms.iter().map(|n| n.as_str().into()).collect();
+            Ok(CloudReply::Hired(machines)) => {
+                let ids: Vec<Id> = machines.iter().map(|n| n.as_str().into()).collect();
                 h.answer = Some(ids.clone());
-                ctx.log(Severity::Info, format!("hire {name}: {} of {} in {}", ids.len(), hire.count, hire.hall));
+                ctx.log(Severity::Info, format!("hire {name}: {} of {} in {}", ids.len(), hire.count, hire.zone));
                 if (ids.len() as u32) < hire.count {
                     self.refused.insert(place, (now + ctx.set.report_ms() * 3, 1));
                 } else {
                     self.refused.remove(&place);
                 }
                 for id in ids {
-                    if !self.looms.contains_key(&id) {
-                        let m = self.new_loom(ctx, &id, &hire.frame, &hire.hall, hire.borrowed, false);
-                        self.looms.insert(id.clone(), m);
+                    if !self.machines.contains_key(&id) {
+                        let m = self.new_machine(ctx, &id, &hire.frame, &hire.zone, hire.spot, false);
+                        self.machines.insert(id.clone(), m);
                     }
                     self.join_block(ctx, &id);
                 }
@@ -224,7 +222,7 @@
                 h.answer = Some(Vec::new());
                 let times = self.refused.get(&place).map_or(0, |r| r.1) + 1;
                 let wait = ctx.set.report_ms() * 2 * u64::from(1u32 << (times - 1).min(2));
-                ctx.log(Severity::Debug, format!("hire {name}: no capacity in {}", hire.hall));
+                ctx.log(Severity::Debug, format!("hire {name}: no capacity in {}", hire.zone));
                 self.refused.insert(place, (now + wait, times));
             }
             Err(IoError::Rejected(why)) => {
@@ -246,14 +244,14 @@
         // waiting for.
         let together = if job.spec.shape == Shape::Array { 1 } else { i64::from(job.spec.pieces) };
         let count = || -> i64 {
-            self.looms
+            self.machines
                 .values()
-                .filter(|m| !m.leaving && Self::allows(job, &m.frame, &m.hall, m.borrowed))
+                .filter(|m| !m.leaving && Self::allows(job, &m.frame, &m.zone, m.spot))
                 .map(|m| m.room.times(&job.need, together))
                 .sum()
         };
-        let free_choice = job.spec.frames.is_none() && job.spec.hall.is_none();
-        let kind = (job.need, together * if job.spec.borrowed { -1 } else { 1 });
+        let free_choice = job.spec.frames.is_none() && job.spec.zone.is_none();
+        let kind = (job.need, together * if job.spec.spot { -1 } else { 1 });
         let all = if free_choice { *known.entry(kind).or_insert_with(count) } else { count() };
         if all < together {
             return true;
@@ -262,7 +260,7 @@
             return false;
         }
         // A machine must be up well within what the class's aim leaves.
-        let aim = ctx.set.aims.get(&job.spec.jobline).cloned().unwrap_or_default();
+        let aim = ctx.set.aims.get(&job.spec.class).cloned().unwrap_or_default();
         let mut wait = ctx.tune.plain_wait_s;
         if let Some(s) = aim.start() {
             wait = wait.min(s * ctx.tune.aim_share - boot_s);
@@ -282,26 +280,26 @@
         // Room free or on its way: what is booting, and what a hire under way will bring.
         struct Space {
             frame: String,
-            hall: String,
-            borrowed: bool,
+            zone: String,
+            spot: bool,
             free: Room,
-            loom: Option<Id>,
+            machine: Option<Id>,
         }
         let mut needed: Vec<Id> = Vec::new();
         let mut spaces: Vec<Space> = Vec::new();
-        for m in self.looms.values() {
+        for m in self.machines.values() {
             // What boots in a zone that is cut off is of no use before that is over.
-            let coming = m.heard.is_none() && !m.leaving && !self.zones_cut.contains(&m.hall);
+            let coming = m.heard.is_none() && !m.leaving && !self.zones_cut.contains(&m.zone);
             if m.usable(now, &ctx.set) || coming {
-                let (frame, hall) = (m.frame.clone(), m.hall.clone());
-                spaces.push(Space { frame, hall, borrowed: m.borrowed, free: m.free(), loom: Some(m.id.clone()) });
+                let (frame, zone) = (m.frame.clone(), m.zone.clone());
+                spaces.push(Space { frame, zone, spot: m.spot, free: m.free(), machine: Some(m.id.clone()) });
             }
         }
         for h in self.hires.values().filter(|h| h.answer.is_none()) {
             let Some(f) = catalog.frame(&h.hire.frame) else { continue };
             for _ in 0..h.hire.count {
-                let (frame, hall) = (h.hire.frame.clone(), h.hire.hall.clone());
-                spaces.push(Space { frame, hall, borrowed: h.hire.borrowed, free: f.room(), loom: None });
+                let (frame, zone) = (h.hire.frame.clone(), h.hire.zone.clone());
+                spaces.push(Space { frame, zone, spot: h.hire.spot, free: f.room(), machine: None });
             }
         }
         // The fullest first, so that a machine that is not needed stays empty and goes back.
@@ -312,8 +310,8 @@
         let calls = (ctx.set.cloud_rps * ctx.tune.round_s * ctx.tune.hire_share).max(1.0) as u32;
         let mut budget = calls * MAX_HIRE;
         let mut there: BTreeMap<(String, bool), u32> = BTreeMap::new();
-        for m in self.looms.values() {
-            *there.entry((m.hall.clone(), m.borrowed)).or_default() += 1;
+        for m in self.machines.values() {
+            *there.entry((m.zone.clone(), m.spot)).or_default() += 1;
         }
         // What arrived within a while is expected to arrive again: room for it is kept, so that work
         // does not wait for machines to boot. Real demand goes first.
@@ -324,55 +322,55 @@
         let real = real.filter(|j| self.rents(ctx, j, boot_s, &mut room_for)).collect::<Vec<_>>();
         let ghosts = self.arrivals.iter().map(|(_, j)| j);
         for job in real.into_iter().chain(ghosts) {
-            let Some(team) = ctx.set.teams.get(&job.spec.crew) else { continue };
-            let used = team_used.entry(job.spec.crew.clone()).or_default();
+            let Some(team) = ctx.set.teams.get(&job.spec.team) else { continue };
+            let used = team_used.entry(job.spec.team.clone()).or_default();
             let mut left = job.waiting().min(team.room(used, &job.need));
             let mut zones: BTreeMap<String, u32> = BTreeMap::new();
             for s in &mut spaces {
                 if left == 0 {
                     break;
                 }
-                let fits = s.free.fits(&job.need) && Self::allows(job, &s.frame, &s.hall, s.borrowed);
+                let fits = s.free.fits(&job.need) && Self::allows(job, &s.frame, &s.zone, s.spot);
                 if !fits {
                     continue;
                 }
                 let mut n = s.free.times(&job.need, i64::from(left)) as u32;
                 if job.spec.scatter || job.spec.one_zone {
-                    let taken = zones.get(s.hall.as_str()).copied().unwrap_or(0);
-                    n = n.min(Self::zone_room(job, &s.hall).saturating_sub(taken));
-                    let elsewhere = zones.iter().any(|(z, n)| *n > 0 && *z != s.hall);
+                    let taken = zones.get(s.zone.as_str()).copied().unwrap_or(0);
+                    n = n.min(Self::zone_room(job, &s.zone).saturating_sub(taken));
+                    let elsewhere = zones.iter().any(|(z, n)| *n > 0 && *z != s.zone);
                     if n == 0 || job.spec.one_zone && elsewhere {
                         continue;
                     }
-                    *zones.entry(s.hall.clone()).or_default() += n;
+                    *zones.entry(s.zone.clone()).or_default() += n;
                 }
                 s.free.add(&job.need, -i64::from(n));
                 used.add(&job.need, i64::from(n));
                 left -= n;
-                needed.extend(s.loom.take());
+                needed.extend(s.machine.take());
             }
             while left > 0 && budget > 0 {
-                let Some((frame, hall, borrowed)) = self.cheapest(ctx, job, &catalog, &there) else { break };
+                let Some((frame, zone, spot)) = self.cheapest(ctx, job, &catalog, &there) else { break };
                 let room = catalog.frame(&frame).map(|f| f.room()).unwrap_or_default();
-                let n = (room.times(&job.need, i64::from(left)) as u32).min(Self::zone_room(job, &hall)).max(1);
+                let n = (room.times(&job.need, i64::from(left)) as u32).min(Self::zone_room(job, &zone)).max(1);
                 let mut free = room;
                 free.add(&job.need, -i64::from(n));
-                spaces.push(Space { frame: frame.clone(), hall: hall.clone(), borrowed, free, loom: None });
+                spaces.push(Space { frame: frame.clone(), zone: zone.clone(), spot, free, machine: None });
                 used.add(&job.need, i64::from(n));
                 left = left.saturating_sub(n);
                 budget -= 1;
-                *there.entry((hall.clone(), borrowed)).or_default() += 1;
-                let same = |h: &Hire| h.frame == frame && h.hall == hall && h.borrowed == borrowed;
+                *there.entry((zone.clone(), spot)).or_default() += 1;
+                let same = |h: &Hire| h.frame == frame && h.zone == zone && h.spot == spot;
                 let many = wanted.len() as u32 >= calls.max(3);
                 match wanted.iter_mut().find(|(h, _)| same(h) && h.count < MAX_HIRE) {
                     Some((h, _)) => h.count += 1,
                     None if many => break,
-                    None => wanted.push((Hire { hire: String::new(), frame, hall, borrowed, count: 1 }, room)),
+                    None => wanted.push((Hire { hire: String::new(), frame, zone, spot, count: 1 }, room)),
                 }
             }
         }
         for id in needed {
-            if let Some(m) = self.looms.get_mut(&id) {
+            if let Some(m) = self.machines.get_mut(&id) {
                 m.needed_at = now;
             }
         }
@@ -395,15 +393,15 @@
     ) -> Option<Place> {
         let mut best: Option<((i64, u32), Place)> = None;
         for f in catalog.frames.iter().filter(|f| f.room().fits(&job.need)) {
-            for hall in f.halls.iter().filter(|h| !self.zones_cut.contains(*h)) {
-                for borrowed in [true, false] {
-                    let place = (f.name.clone(), hall.clone(), borrowed);
+            for zone in f.zones.iter().filter(|h| !self.zones_cut.contains(*h)) {
+                for spot in [true, false] {
+                    let place = (f.name.clone(), zone.clone(), spot);
                     let refused = self.refused.get(&place).is_some_and(|r| r.0 > ctx.now.mono);
-                    if refused || !Self::allows(job, &f.name, hall, borrowed) || !Self::zone_fits(job, hall) {
+                    if refused || !Self::allows(job, &f.name, zone, spot) || !Self::zone_fits(job, zone) {
                         continue;
                     }
-                    let price = if borrowed && f.market_price > 0.0 { f.market_price } else { f.price };
-                    let rank = ((price * 1000.0) as i64, there.get(&(hall.clone(), borrowed)).copied().unwrap_or(0));
+                    let price = if spot && f.market_price > 0.0 { f.market_price } else { f.price };
+                    let rank = ((price * 1000.0) as i64, there.get(&(zone.clone(), spot)).copied().unwrap_or(0));
                     if best.as_ref().is_none_or(|(b, _)| rank < *b) {
                         best = Some((rank, place));
                     }
@@ -419,7 +417,7 @@
         let set = ctx.set.clone();
         let silence = (set.report_s * ctx.tune.silent_reports * 1000.0) as u64;
         let mut names: Vec<Id> = Vec::new();
-        for m in self.looms.values_mut() {
+        for m in self.machines.values_mut() {
             if m.returning {
                 continue;
             }
@@ -432,7 +430,7 @@
                 None => m.leaving |= age > boot_s * NEVER_BOOTS + set.report_s && here > silence * 2,
                 Some(h) if !m.owned => {
                     let quiet = now.saturating_sub(h);
-                    let kept = m.cut && ctx.keepers.values().any(|k| k.hall == m.hall);
+                    let kept = m.cut && ctx.keepers.values().any(|k| k.zone == m.zone);
                     m.leaving |= if kept {
                         // The controller there keeps its leases for a term: what it runs goes on,
                         // and is better waited for unless it has a deadline.
--- a/crates/loopback/src/main.rs
+++ b/crates/loopback/src/main.rs
@@ -201,7 +201,7 @@
         price: 2.0,
         market_price: 0.5,
         boot_s: 25.0,
-        halls: (0..CONTROLLERS).map(zone).collect(),
+        zones: (0..CONTROLLERS).map(zone).collect(),
     }
 }
 
--- a/crates/loopback/src/services.rs
+++ b/crates/loopback/src/services.rs
@@ -6,7 +6,7 @@
 use shaleshunt_core::{IoError, StateReply, StateRequest};
 use shaleshunt_testkit::cloud::Cloud;
 use shaleshunt_testkit::state::StateService;
-use shaleshunt_wire::cloud::Looms;
+use shaleshunt_wire::cloud::MachineNames;
 use shaleshunt_wire::paths;
 use shaleshunt_wire::state::{Hold, NewHold, TxnReply};
 use shaleshunt_wire::user::Problem;
@@ -123,7 +123,7 @@
             cloud.turn(now);
             match cloud.handle(now, request).0 {
                 Ok(CloudReply::Catalog(catalog)) => json(200, &catalog),
-                Ok(CloudReply::Hired(looms)) => json(200, &Looms { looms }),
+                Ok(CloudReply::Hired(machines)) => json(200, &MachineNames { machines }),
                 Ok(CloudReply::NoCapacity) => json(503, &Problem { error: "no capacity".into() }),
                 Ok(CloudReply::Returned) => json(200, &serde_json::json!({})),
                 Ok(CloudReply::Page(page)) => json(200, &page),
@@ -141,8 +141,8 @@
         }
         (Method::POST, paths::MACHINES) => serde_json::from_slice(&received.body).ok().map(CloudRequest::Hire),
         (Method::POST, paths::RETURN) => {
-            let names: Looms = serde_json::from_slice(&received.body).ok()?;
-            Some(CloudRequest::Return(names.looms))
+            let names: MachineNames = serde_json::from_slice(&received.body).ok()?;
+            Some(CloudRequest::Return(names.machines))
         }
         _ => None,
     }
--- a/crates/loopback/src/users.rs
+++ b/crates/loopback/src/users.rs
@@ -48,8 +48,8 @@
     let urgent = number.is_multiple_of(2);
     Submission {
         id: format!("wk-{number:06}"),
-        jobline: if urgent { "urgent" } else { "batch" }.into(),
-        crew: team.into(),
+        class: if urgent { "urgent" } else { "batch" }.into(),
+        team: team.into(),
         shape: Shape::Array,
         urgency: if urgent { Urgency::High } else { Urgency::Normal },
         pieces: TASKS,
@@ -59,10 +59,10 @@
         bundle: format!("image-{}", number % 12),
         image_gb: 0.5,
         frames: None,
-        hall: None,
+        zone: None,
         one_zone: false,
         scatter: false,
-        borrowed: true,
+        spot: true,
         expect_s,
         mark_every_s: 0.0,
         mark_takes_s: 0.0,
--- a/crates/net/src/outside.rs
+++ b/crates/net/src/outside.rs
@@ -5,7 +5,7 @@
 use serde::de::DeserializeOwned;
 use shaleshunt_core::io::{CloudReply, CloudRequest, OrdersReply};
 use shaleshunt_core::{IoError, StateReply, StateRequest};
-use shaleshunt_wire::cloud::{Catalog, ListPage, Looms};
+use shaleshunt_wire::cloud::{Catalog, ListPage, MachineNames};
 use shaleshunt_wire::state::{Hold, NewHold, News, Page, Pair, TxnReply};
 use shaleshunt_wire::user::Problem;
 use shaleshunt_wire::worker::Report;
@@ -78,7 +78,9 @@
     match request {
         CloudRequest::Catalog => (Method::GET, paths::CATALOG.into(), Bytes::new()),
         CloudRequest::Hire(hire) => (Method::POST, paths::MACHINES.into(), json(hire)),
-        CloudRequest::Return(looms) => (Method::POST, paths::RETURN.into(), json(&Looms { looms: looms.clone() })),
+        CloudRequest::Return(machines) => {
+            (Method::POST, paths::RETURN.into(), json(&MachineNames { machines: machines.clone() }))
+        }
         CloudRequest::List { after } => {
             let after = if after.is_empty() { String::new() } else { format!("after={}&", query(after)) };
             (Method::GET, format!("{}?{after}most={MAX_LIST}", paths::MACHINES), Bytes::new())
@@ -94,7 +96,7 @@
         (_, 503) => Err(IoError::Refused),
         (_, 400..=499) => Err(IoError::Rejected(problem(body))),
         (CloudRequest::Catalog, 200) => read::<Catalog>(body).map(CloudReply::Catalog),
-        (CloudRequest::Hire(_), 200) => read::<Looms>(body).map(|l| CloudReply::Hired(l.looms)),
+        (CloudRequest::Hire(_), 200) => read::<MachineNames>(body).map(|l| CloudReply::Hired(l.machines)),
         (CloudRequest::Return(_), 200) => Ok(CloudReply::Returned),
         (CloudRequest::List { .. }, 200) => read::<ListPage>(body).map(CloudReply::Page),
         _ => Err(IoError::Unknown),
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -18,9 +18,9 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    pub zone: String,
     /// Spot.
-    pub borrowed: bool,
+    pub spot: bool,
 }
 
 /// What has been seen so far.
@@ -71,19 +71,19 @@
     }
 
     /// A machine did something.
-    pub fn machine(&mut self, now: u64, loom: &str, place: &Place, event: &Event) {
+    pub fn machine(&mut self, now: u64, machine: &str, place: &Place, event: &Event) {
         match event {
-            Event::On(piece, attempt) => self.started(now, loom, place, piece, *attempt),
+            Event::On(piece, attempt) => self.started(now, machine, place, piece, *attempt),
             Event::Off(piece, attempt) => {
                 let Some(list) = self.on.get_mut(piece) else { return };
                 let before = list.len();
-                list.retain(|(l, a, _)| l != loom || a != attempt);
+                list.retain(|(l, a, _)| l != machine || a != attempt);
                 let gone = (before - list.len()) as i64;
                 if list.is_empty() {
                     self.on.remove(piece);
                 }
                 if let Some(s) = split_piece(piece).and_then(|(job, _)| self.jobs.get(job)) {
-                    *self.used.entry(s.crew.clone()).or_default() -= to_milli(s.cores) * gone;
+                    *self.used.entry(s.team.clone()).or_default() -= to_milli(s.cores) * gone;
                 }
             }
             Event::Completed(piece) => {
@@ -92,7 +92,7 @@
         }
     }
 
-    fn started(&mut self, now: u64, loom: &str, place: &Place, piece: &str, attempt: u64) {
+    fn started(&mut self, now: u64, machine: &str, place: &Place, piece: &str, attempt: u64) {
         self.starts += 1;
         let Some((job, _)) = split_piece(piece) else { return };
         self.begun.entry(job.into()).or_insert(now);
@@ -101,13 +101,13 @@
             return;
         };
         if let Some((other, ..)) = self.on.get(piece).and_then(|l| l.first()).cloned() {
-            self.break_rule(now, "ran_twice", &format!("{piece} starts on {loom} while on {other}"));
+            self.break_rule(now, "ran_twice", &format!("{piece} starts on {machine} while on {other}"));
         }
         if let Some(t) = self.cancelled.get(job) {
             self.late_starts = (self.late_starts.0 + 1, self.late_starts.1.max(now - t));
         }
         if self.cancelled.get(job).is_some_and(|t| now > t + self.cancel_ms) {
-            self.break_rule(now, "ran_cancelled", &format!("{piece} starts on {loom}"));
+            self.break_rule(now, "ran_cancelled", &format!("{piece} starts on {machine}"));
         }
         for need in &spec.awaits {
             if !self.jobs.get(need).is_some_and(|s| self.all_done(s)) {
@@ -115,21 +115,21 @@
             }
         }
         let mates: Vec<Place> = self.tasks_on(job).flat_map(|l| l.iter().map(|(_, _, p)| p.clone())).collect();
-        let same_zone = mates.iter().filter(|m| m.hall == place.hall).count() as u32 + 1;
+        let same_zone = mates.iter().filter(|m| m.zone == place.zone).count() as u32 + 1;
         let wrong = spec.frames.as_ref().is_some_and(|f| !f.contains(&place.frame))
-            || spec.hall.as_ref().is_some_and(|h| *h != place.hall)
-            || place.borrowed && !spec.borrowed
-            || spec.one_zone && mates.iter().any(|m| m.hall != place.hall)
+            || spec.zone.as_ref().is_some_and(|h| *h != place.zone)
+            || place.spot && !spec.spot
+            || spec.one_zone && mates.iter().any(|m| m.zone != place.zone)
             || spec.scatter && same_zone > spec.pieces.div_ceil(2);
         if wrong {
-            self.break_rule(now, "wrong_place", &format!("{piece} starts on {loom}"));
+            self.break_rule(now, "wrong_place", &format!("{piece} starts on {machine}"));
         }
-        self.on.entry(piece.into()).or_default().push((loom.into(), attempt, place.clone()));
-        *self.used.entry(spec.crew.clone()).or_default() += to_milli(spec.cores);
-        let limit = self.limits.get(&spec.crew).copied().unwrap_or(0.0);
-        let used = self.used(&spec.crew);
+        self.on.entry(piece.into()).or_default().push((machine.into(), attempt, place.clone()));
+        *self.used.entry(spec.team.clone()).or_default() += to_milli(spec.cores);
+        let limit = self.limits.get(&spec.team).copied().unwrap_or(0.0);
+        let used = self.used(&spec.team);
         if limit > 0.0 && used > to_milli(limit) {
-            self.break_rule(now, "quota", &format!("{} uses {} of {limit}", spec.crew, used as f64 / 1000.0));
+            self.break_rule(now, "quota", &format!("{} uses {} of {limit}", spec.team, used as f64 / 1000.0));
         }
     }
 
@@ -260,8 +260,8 @@
     }
 
     /// CPUs of a team's tasks on machines, in thousandths.
-    pub fn used(&self, crew: &str) -> i64 {
-        self.used.get(crew).copied().unwrap_or(0)
+    pub fn used(&self, team: &str) -> i64 {
+        self.used.get(team).copied().unwrap_or(0)
     }
 
     /// A job's tasks that are on machines.
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -13,9 +13,9 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    pub zone: String,
     /// Spot.
-    pub borrowed: bool,
+    pub spot: bool,
     /// Since when.
     pub since: u64,
     /// When it is up; never if `None`.
@@ -44,10 +44,10 @@
 
 impl Cloud {
     /// Gives out a machine that is up at `up_at`.
-    pub fn give(&mut self, now: u64, frame: &str, hall: &str, borrowed: bool, up_at: Option<u64>) -> String {
+    pub fn give(&mut self, now: u64, frame: &str, zone: &str, spot: bool, up_at: Option<u64>) -> String {
         self.count += 1;
         let id = format!("vm-{:06}", self.count);
-        let m = Rented { id: id.clone(), frame: frame.into(), hall: hall.into(), borrowed, since: now, up_at };
+        let m = Rented { id: id.clone(), frame: frame.into(), zone: zone.into(), spot, since: now, up_at };
         self.machines.insert(id.clone(), m);
         id
     }
@@ -63,7 +63,7 @@
                 if let Some(old) = self.hires.get(&h.hire) {
                     return (Ok(CloudReply::Hired(old.clone())), Vec::new());
                 }
-                let key = (h.frame.clone(), h.hall.clone(), h.borrowed);
+                let key = (h.frame.clone(), h.zone.clone(), h.spot);
                 let left = self.capacity.get(&key).copied().unwrap_or(0);
                 let n = left.min(h.count);
                 if n == 0 {
@@ -76,7 +76,7 @@
                             let dud = self.duds > 0;
                             self.duds = self.duds.saturating_sub(1);
                             let up = now + (boot * 1000.0 * (0.7 + f64::from(i) * 0.1)) as u64;
-                            self.give(now, &h.frame, &h.hall, h.borrowed, (!dud).then_some(up))
+                            self.give(now, &h.frame, &h.zone, h.spot, (!dud).then_some(up))
                         })
                         .collect();
                     self.hires.insert(h.hire, names.clone());
@@ -92,11 +92,11 @@
             CloudRequest::List { after } => {
                 let seen = self.past.iter().rev().find(|(t, _)| *t + self.lag_ms <= now);
                 let all = seen.map(|(_, l)| l.clone()).unwrap_or_default();
-                let mut looms: Vec<Listed> = all.into_iter().filter(|m| m.id > after).collect();
+                let mut machines: Vec<Listed> = all.into_iter().filter(|m| m.id > after).collect();
                 // Small pages, so that paging is played.
-                let truncated = looms.len() > 5;
-                looms.truncate(5);
-                CloudReply::Page(ListPage { looms, truncated })
+                let truncated = machines.len() > 5;
+                machines.truncate(5);
+                CloudReply::Page(ListPage { machines, truncated })
             }
         };
         (Ok(reply), Vec::new())
@@ -105,7 +105,7 @@
     /// Takes a machine back, its capacity too.
     pub fn take(&mut self, id: &str) {
         if let Some(m) = self.machines.remove(id) {
-            *self.capacity.entry((m.frame, m.hall, m.borrowed)).or_default() += 1;
+            *self.capacity.entry((m.frame, m.zone, m.spot)).or_default() += 1;
         }
     }
 
@@ -121,8 +121,8 @@
                 id: m.id.clone(),
                 endpoint: m.id.clone(),
                 frame: m.frame.clone(),
-                hall: m.hall.clone(),
-                borrowed: m.borrowed,
+                zone: m.zone.clone(),
+                spot: m.spot,
                 status: if m.up_at.is_some_and(|t| t <= now) { ListedStatus::Running } else { ListedStatus::Booting },
                 age_s: (now - m.since) as f64 / 1000.0,
             })
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -403,7 +403,7 @@
 fn largest(w: &World) -> BTreeMap<String, Vec<&Submission>> {
     let mut classes: BTreeMap<String, Vec<&Submission>> = BTreeMap::new();
     for u in w.users.values().filter(|u| u.withdraw_at.is_none()) {
-        classes.entry(format!("largest of class {}", u.spec.jobline)).or_default().push(&u.spec);
+        classes.entry(format!("largest of class {}", u.spec.class)).or_default().push(&u.spec);
     }
     for jobs in classes.values_mut() {
         jobs.sort_by_key(|s| std::cmp::Reverse(s.pieces));
@@ -418,8 +418,8 @@
     let served = |s: &Submission| served(w, s);
     let mut groups: BTreeMap<String, Vec<&Submission>> = BTreeMap::new();
     for u in w.users.values().filter(|u| u.withdraw_at.is_none()) {
-        groups.entry(format!("class {}", u.spec.jobline)).or_default().push(&u.spec);
-        groups.entry(format!("team {}", u.spec.crew)).or_default().push(&u.spec);
+        groups.entry(format!("class {}", u.spec.class)).or_default().push(&u.spec);
+        groups.entry(format!("team {}", u.spec.team)).or_default().push(&u.spec);
     }
     for (name, jobs) in groups.into_iter().chain(largest(w)) {
         let n = jobs.iter().filter(|s| served(s)).count();
@@ -441,7 +441,7 @@
         price: 2.0,
         market_price: 0.5,
         boot_s: 20.0,
-        halls: zones.to_vec(),
+        zones: zones.to_vec(),
     };
     while !w.0.is_empty() {
         match w.next()? {
@@ -473,8 +473,8 @@
 fn job(w: &mut Words) -> Result<JobLine, BadLine> {
     let mut s = Submission {
         id: w.next()?.into(),
-        jobline: "work".into(),
-        crew: "t".into(),
+        class: "work".into(),
+        team: "t".into(),
         shape: Shape::Array,
         urgency: Urgency::Normal,
         pieces: 1,
@@ -484,10 +484,10 @@
         bundle: "img".into(),
         image_gb: 0.5,
         frames: None,
-        hall: None,
+        zone: None,
         one_zone: false,
         scatter: false,
-        borrowed: false,
+        spot: false,
         expect_s: 10.0,
         mark_every_s: 0.0,
         mark_takes_s: 0.0,
@@ -509,10 +509,10 @@
             "ram" => s.ram_gb = w.number()?,
             "run" => s.expect_s = w.number()?,
             "due" => s.due_s = Some(w.number()?),
-            "crew" => s.crew = w.next()?.into(),
-            "class" => s.jobline = w.next()?.into(),
+            "crew" => s.team = w.next()?.into(),
+            "class" => s.class = w.next()?.into(),
             "image" => s.bundle = w.next()?.into(),
-            "hall" => s.hall = Some(w.next()?.into()),
+            "hall" => s.zone = Some(w.next()?.into()),
             "frames" => s.frames = Some(w.next()?.split(',').map(str::to_string).collect()),
             "scatter" => s.scatter = true,
             "onezone" => s.one_zone = true,
@@ -522,7 +522,7 @@
                 s.awaits.extend((1..=n).map(|n| format!("{name}-{n}")));
             }
             "late" => late = true,
-            "spot" => s.borrowed = true,
+            "spot" => s.spot = true,
             "prod" => s.urgency = Urgency::Prod,
             "high" => s.urgency = Urgency::High,
             "low" => s.urgency = Urgency::BestEffort,
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -42,16 +42,16 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    pub zone: String,
     /// Spot.
-    pub borrowed: bool,
+    pub spot: bool,
     room: Room,
     fetch: f64,
     /// Session.
     pub shift: u64,
     tick: u64,
     /// Highest token seen.
-    pub baton: u64,
+    pub token: u64,
     /// Tasks by name.
     pub tasks: BTreeMap<String, Vec<Task>>,
     images: BTreeSet<String>,
@@ -81,26 +81,17 @@
 impl Worker {
     /// A worker that has just come up.
     #[allow(clippy::too_many_arguments)]
-    pub fn new(
-        id: &str,
-        frame: &str,
-        hall: &str,
-        borrowed: bool,
-        room: Room,
-        fetch: f64,
-        lease_ms: u64,
-        now: u64,
-    ) -> Self {
+    pub fn new(id: &str, frame: &str, zone: &str, spot: bool, room: Room, fetch: f64, lease_ms: u64, now: u64) -> Self {
         Worker {
             id: id.into(),
             frame: frame.into(),
-            hall: hall.into(),
-            borrowed,
+            zone: zone.into(),
+            spot,
             room,
             fetch,
             shift: 1,
             tick: 0,
-            baton: 0,
+            token: 0,
             tasks: BTreeMap::new(),
             images: BTreeSet::new(),
             answered: now,
@@ -144,14 +135,14 @@
             })
             .collect();
         Report {
-            loom: self.id.clone(),
+            machine: self.id.clone(),
             endpoint: self.id.clone(),
             frame: self.frame.clone(),
-            hall: self.hall.clone(),
-            borrowed: self.borrowed,
+            zone: self.zone.clone(),
+            spot: self.spot,
             shift: self.shift,
             tick: self.tick,
-            baton: self.baton,
+            token: self.token,
             warn_s: self.warn_s,
             pieces,
         }
@@ -175,11 +166,11 @@
             return;
         }
         self.waiting = None;
-        if sent.1 != self.shift || reply.baton < self.baton {
+        if sent.1 != self.shift || reply.token < self.token {
             return;
         }
-        self.changed |= reply.baton > self.baton;
-        self.baton = reply.baton;
+        self.changed |= reply.token > self.token;
+        self.token = reply.token;
         self.answered = sent.0;
         for o in reply.orders {
             self.execute(now, o, jobs);
@@ -188,10 +179,10 @@
 
     /// Direct commands: the report after them, and whether they were executed.
     pub fn orders(&mut self, now: u64, o: Orders, jobs: &BTreeMap<String, Submission>) -> (bool, Report) {
-        let fine = o.baton >= self.baton && o.shift == self.shift;
+        let fine = o.token >= self.token && o.shift == self.shift;
         if fine {
-            self.changed |= o.baton > self.baton;
-            self.baton = o.baton;
+            self.changed |= o.token > self.token;
+            self.token = o.token;
             for order in o.orders {
                 self.execute(now, order, jobs);
             }
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -476,8 +476,8 @@
     fn cut_worker(&self, node: usize, worker: &str) -> Option<(u64, bool)> {
         let own =
             self.cuts.iter().filter(|(n, s, until, _)| *n == node && s.separates(Side::Workers) && self.now < *until);
-        let hall = self.workers.get(worker).map(|w| w.hall.as_str());
-        let zone = self.zone_cut(&self.settings[node].location, hall);
+        let zone = self.workers.get(worker).map(|w| w.zone.as_str());
+        let zone = self.zone_cut(&self.settings[node].location, zone);
         own.map(|(_, _, until, held)| (*until, *held)).chain(zone).max()
     }
 
@@ -571,7 +571,7 @@
             What::Checkin(node, report, sent) => {
                 self.next_ask += 1;
                 let id = (1 << 62) + self.next_ask;
-                self.asks.insert(id, Asked::Worker(report.loom.clone(), sent));
+                self.asks.insert(id, Asked::Worker(report.machine.clone(), sent));
                 self.step(node, Command::Checkin(id, Box::new(report)));
             }
             What::User(job) => self.user_acts(&job),
@@ -589,7 +589,7 @@
     /// The machines meant: one by name, `zone:a` or `count:3`.
     fn machines_meant(&self, which: &str) -> Vec<String> {
         match which.split_once(':') {
-            Some(("zone", zone)) => self.workers.values().filter(|w| w.hall == zone).map(|w| w.id.clone()).collect(),
+            Some(("zone", zone)) => self.workers.values().filter(|w| w.zone == zone).map(|w| w.id.clone()).collect(),
             Some(("count", n)) => self.workers.keys().take(n.parse().unwrap_or(0)).cloned().collect(),
             _ => vec![which.to_string()],
         }
@@ -687,8 +687,7 @@
         for m in up {
             let Some(f) = self.cloud.catalog.frame(&m.frame) else { continue };
             let lease = (self.settings[0].lease_s * 1000.0) as u64;
-            let mut w =
-                Worker::new(&m.id, &m.frame, &m.hall, m.borrowed, f.room(), f.fetch_gb_per_s.max(0.01), lease, now);
+            let mut w = Worker::new(&m.id, &m.frame, &m.zone, m.spot, f.room(), f.fetch_gb_per_s.max(0.01), lease, now);
             w.node = self.rng.random_range(0..self.nodes.len());
             self.workers.insert(m.id.clone(), w);
         }
@@ -754,9 +753,9 @@
         if before.into_iter().any(|a| !self.check.all_done(a)) {
             return false;
         }
-        let limit = self.check.limits.get(&s.crew).copied().unwrap_or(0.0);
+        let limit = self.check.limits.get(&s.team).copied().unwrap_or(0.0);
         let need = s.need();
-        if limit > 0.0 && self.check.used(&s.crew) + need.cores > (limit * 1000.0) as i64 {
+        if limit > 0.0 && self.check.used(&s.team) + need.cores > (limit * 1000.0) as i64 {
             return false;
         }
         // Jobs bound to their other tasks' places wait for those; a gang needs room for all.
@@ -765,8 +764,8 @@
         }
         self.workers.values().any(|w| {
             let allowed = s.frames.as_ref().is_none_or(|f| f.contains(&w.frame))
-                && s.hall.as_ref().is_none_or(|h| *h == w.hall)
-                && (s.borrowed || !w.borrowed);
+                && s.zone.as_ref().is_none_or(|h| *h == w.zone)
+                && (s.spot || !w.spot);
             allowed && self.now >= w.hangs_until && !self.warned.contains_key(&w.id) && w.free().fits(&need)
         })
     }
@@ -826,7 +825,7 @@
     fn flush(&mut self, name: &str) {
         let Some(w) = self.workers.get_mut(name) else { return };
         let events = std::mem::take(&mut w.events);
-        let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
+        let place = Place { frame: w.frame.clone(), zone: w.zone.clone(), spot: w.spot };
         for e in events {
             if let Some(log) = &mut self.log {
                 log.push(format!("{:.3} {name}: {e:?}", self.now as f64 / 1000.0));
@@ -861,7 +860,7 @@
 
     fn end_machine(&mut self, name: &str) {
         if let Some(mut w) = self.workers.remove(name) {
-            let place = Place { frame: w.frame.clone(), hall: w.hall.clone(), borrowed: w.borrowed };
+            let place = Place { frame: w.frame.clone(), zone: w.zone.clone(), spot: w.spot };
             for e in w.die() {
                 self.check.machine(self.now, name, &place, &e);
             }
--- a/crates/testkit/tests/cancelled_here.rs
+++ b/crates/testkit/tests/cancelled_here.rs
@@ -19,7 +19,7 @@
     answers: BTreeMap<u64, Answer>,
     orders: Vec<Order>,
     tick: u64,
-    baton: u64,
+    token: u64,
     pieces: Vec<PieceReport>,
 }
 
@@ -60,7 +60,7 @@
             answers: BTreeMap::new(),
             orders: Vec::new(),
             tick: 0,
-            baton: 0,
+            token: 0,
             pieces: Vec::new(),
         }
     }
@@ -107,7 +107,7 @@
 
     /// The one machine: what it is told to run runs on.
     fn carry_out(&mut self, orders: Orders) -> Report {
-        self.baton = self.baton.max(orders.baton);
+        self.token = self.token.max(orders.token);
         for order in &orders.orders {
             match order.clone() {
                 Order::Run { piece, attempt } => {
@@ -125,14 +125,14 @@
     fn report(&mut self) -> Report {
         self.tick += 1;
         Report {
-            loom: "vm-000001".into(),
+            machine: "vm-000001".into(),
             endpoint: "m1".into(),
             frame: "f".into(),
-            hall: "a".into(),
-            borrowed: false,
+            zone: "a".into(),
+            spot: false,
             shift: 1,
             tick: self.tick,
-            baton: self.baton,
+            token: self.token,
             warn_s: None,
             pieces: self.pieces.clone(),
         }
@@ -142,7 +142,7 @@
         let report = self.report();
         self.tell(Command::Checkin(id, Box::new(report)));
         let Some(Answer::Report(reply)) = self.answers.get(&id) else { panic!("{:?}", self.answers.get(&id)) };
-        self.baton = self.baton.max(reply.baton);
+        self.token = self.token.max(reply.token);
     }
 
     fn halts(&self) -> usize {
--- a/crates/testkit/tests/checker.rs
+++ b/crates/testkit/tests/checker.rs
@@ -17,7 +17,7 @@
     let mut c = Checker::new(50_000);
     c.jobs.insert("wk-1".into(), spec("wk-1", true));
     c.limits.insert("t".into(), 4.0);
-    (c, Place { frame: "f".into(), hall: "a".into(), borrowed: false })
+    (c, Place { frame: "f".into(), zone: "a".into(), spot: false })
 }
 
 fn found(c: &Checker, rule: &str) -> bool {
@@ -39,13 +39,13 @@
     assert!(found(&c, "wrong_place"), "two of two in one zone");
 
     let (mut c, place) = checker();
-    c.machine(1, "vm-1", &Place { borrowed: true, ..place.clone() }, &on("wk-1/0", 1));
+    c.machine(1, "vm-1", &Place { spot: true, ..place.clone() }, &on("wk-1/0", 1));
     assert!(found(&c, "wrong_place"), "spot");
 
     let (mut c, place) = checker();
     c.limits.insert("t".into(), 3.0);
     c.machine(1, "vm-1", &place, &on("wk-1/0", 1));
-    c.machine(1, "vm-1", &Place { hall: "b".into(), ..place.clone() }, &on("wk-1/1", 1));
+    c.machine(1, "vm-1", &Place { zone: "b".into(), ..place.clone() }, &on("wk-1/1", 1));
     assert!(found(&c, "quota"));
 
     let (mut c, _) = checker();
@@ -110,7 +110,7 @@
     c.machine(5, "vm-1", &place, &Event::On("wk-1/0".into(), 1));
     c.told(10, 5, "wk-1", 200, Some(JobStatus::Aborted));
     assert_eq!(c.late_starts, (0, 0));
-    c.machine(35, "vm-1", &Place { hall: "b".into(), ..place.clone() }, &Event::On("wk-1/1".into(), 1));
+    c.machine(35, "vm-1", &Place { zone: "b".into(), ..place.clone() }, &Event::On("wk-1/1".into(), 1));
     assert_eq!(c.late_starts, (1, 25));
     assert_eq!(c.used("t"), 4000);
     c.machine(36, "vm-1", &place, &Event::Off("wk-1/1".into(), 1));
--- a/crates/wire/src/cloud.rs
+++ b/crates/wire/src/cloud.rs
@@ -32,8 +32,8 @@
     #[serde(default)]
     pub boot_s: f64,
     /// Zones that have it.
-    #[serde(default)]
-    pub halls: Vec<String>,
+    #[serde(rename = "halls", default)]
+    pub zones: Vec<String>,
 }
 
 impl Frame {
@@ -66,18 +66,21 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    #[serde(rename = "hall")]
+    pub zone: String,
     /// Spot.
-    pub borrowed: bool,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
     /// How many.
     pub count: u32,
 }
 
 /// Machine names: a hire's answer and a return's body.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Looms {
+pub struct MachineNames {
     /// Names.
-    pub looms: Vec<String>,
+    #[serde(rename = "looms")]
+    pub machines: Vec<String>,
 }
 
 /// State of a listed machine.
@@ -108,9 +111,11 @@
     /// Type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    #[serde(rename = "hall")]
+    pub zone: String,
     /// Spot.
-    pub borrowed: bool,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
     /// State.
     pub status: ListedStatus,
     /// Age since the hire.
@@ -122,7 +127,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ListPage {
     /// Machines in order of their names.
-    pub looms: Vec<Listed>,
+    #[serde(rename = "looms")]
+    pub machines: Vec<Listed>,
     /// Whether there is more.
     #[serde(default)]
     pub truncated: bool,
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -37,9 +37,11 @@
     #[serde(rename = "ref")]
     pub id: String,
     /// Class of jobs that it belongs to.
-    pub jobline: String,
+    #[serde(rename = "jobline")]
+    pub class: String,
     /// Team.
-    pub crew: String,
+    #[serde(rename = "crew")]
+    pub team: String,
     /// Kind of job.
     pub shape: Shape,
     /// Priority.
@@ -60,14 +62,15 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub frames: Option<Vec<String>>,
     /// The only allowed zone.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub hall: Option<String>,
+    #[serde(rename = "hall", default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
     /// All tasks in one zone.
     pub one_zone: bool,
     /// At most half of the tasks, rounded up, in one zone.
     pub scatter: bool,
     /// May use spot machines.
-    pub borrowed: bool,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
     /// The owner's estimate of a task's run time.
     pub expect_s: f64,
     /// Interval between checkpoints, 0 for none.
@@ -111,8 +114,8 @@
         let amount = |x: f64| x.is_finite() && (0.0..=HUGE).contains(&x);
         let check = |ok: bool, field: &'static str| if ok { Ok(()) } else { Err(Malformed::Field(field)) };
         check(valid_id(&s.id), "ref")?;
-        check(name(&s.jobline), "jobline")?;
-        check(name(&s.crew), "crew")?;
+        check(name(&s.class), "jobline")?;
+        check(name(&s.team), "crew")?;
         check((1..=MAX_PIECES).contains(&s.pieces), "pieces")?;
         check(amount(s.cores), "cores")?;
         check(amount(s.cards), "cards")?;
@@ -121,7 +124,7 @@
         check(amount(s.image_gb), "imageGb")?;
         let frames_fine = s.frames.as_ref().is_none_or(|f| f.len() <= LONG_NAME / 4 && f.iter().all(|n| name(n)));
         check(frames_fine, "frames")?;
-        check(s.hall.as_ref().is_none_or(|h| name(h)), "hall")?;
+        check(s.zone.as_ref().is_none_or(|h| name(h)), "hall")?;
         check(amount(s.expect_s), "expectS")?;
         check(amount(s.mark_every_s), "markEveryS")?;
         check(amount(s.mark_takes_s), "markTakesS")?;
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -68,21 +68,25 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Machine.
-    pub loom: String,
+    #[serde(rename = "loom")]
+    pub machine: String,
     /// Address for direct commands.
     pub endpoint: String,
     /// Machine type.
     pub frame: String,
     /// Zone.
-    pub hall: String,
+    #[serde(rename = "hall")]
+    pub zone: String,
     /// Spot machine.
-    pub borrowed: bool,
+    #[serde(rename = "borrowed")]
+    pub spot: bool,
     /// Session.
     pub shift: u64,
     /// Order among the reports of a session.
     pub tick: u64,
     /// Highest token seen.
-    pub baton: u64,
+    #[serde(rename = "baton")]
+    pub token: u64,
     /// Seconds until the cloud takes the machine.
     #[serde(default, rename = "warnS")]
     pub warn_s: Option<f64>,
@@ -97,7 +101,7 @@
         let r: Report = serde_json::from_slice(body).ok()?;
         let key_safe =
             |n: &str| !n.is_empty() && n.len() <= 100 && n.bytes().all(|b| b.is_ascii_graphic() && b != b'/');
-        (key_safe(&r.loom) && r.endpoint.len() <= 100).then_some(r)
+        (key_safe(&r.machine) && r.endpoint.len() <= 100).then_some(r)
     }
 }
 
@@ -138,7 +142,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ReportReply {
     /// Token.
-    pub baton: u64,
+    #[serde(rename = "baton")]
+    pub token: u64,
     /// Commands, executed in order.
     pub orders: Vec<Order>,
 }
@@ -147,7 +152,8 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Orders {
     /// Token.
-    pub baton: u64,
+    #[serde(rename = "baton")]
+    pub token: u64,
     /// Session that they are meant for.
     pub shift: u64,
     /// Commands, executed in order.
