--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -1,7 +1,7 @@
 //! The leader's transactions: one at a time, each holding what has become due since the last.
 //!
-//! Every transaction conditions on the epoch's stamp and on the stamp of every key that it writes,
-//! and on the stamp of each job that it places. So copies that arrive late fail, and so does
+//! Every transaction conditions on the epoch's version and on the version of every key that it writes,
+//! and on the version of each job that it places. So copies that arrive late fail, and so does
 //! everything that an older leader still sends. One that brought no answer is settled by reading a
 //! key that it writes, and is sent again as it was while that key has not changed.
 //!
@@ -99,21 +99,21 @@
     fn full(&self) -> bool {
         self.txn.writes.len() >= self.ops
     }
-    fn set(&mut self, key: String, stamp: u64, v: serde_json::Value, bytes: usize) {
+    fn set(&mut self, key: String, version: u64, v: serde_json::Value, bytes: usize) {
         self.bytes += bytes + key.len() * 2 + 60;
-        self.txn.conditions.push(Condition { path: key.clone(), stamp });
+        self.txn.conditions.push(Condition { path: key.clone(), version });
         self.txn.writes.push(Write::set(key, v));
     }
-    fn drop_key(&mut self, key: String, stamp: u64) {
+    fn drop_key(&mut self, key: String, version: u64) {
         self.bytes += key.len() * 2 + 60;
-        self.txn.conditions.push(Condition { path: key.clone(), stamp });
+        self.txn.conditions.push(Condition { path: key.clone(), version });
         self.txn.writes.push(Write::drop_key(key));
     }
     fn expect_job(&mut self, job: &Job) {
         if self.jobs.insert(job.id.clone()) {
             let path = format!("{}{}", keys::JOBS, job.id);
             self.bytes += path.len() + 40;
-            self.txn.conditions.push(Condition { path, stamp: job.stamp });
+            self.txn.conditions.push(Condition { path, version: job.version });
         }
     }
     /// A key that only the leader writes and that shows whether this was carried out.
@@ -145,18 +145,18 @@
     pub(crate) fn drafted(&self) -> usize {
         self.drafts.iter().map(Draft::bytes).sum()
     }
-    pub(crate) fn set(&mut self, key: String, stamp: u64, v: serde_json::Value, bytes: usize) {
-        self.txn.set(key, stamp, v, bytes);
+    pub(crate) fn set(&mut self, key: String, version: u64, v: serde_json::Value, bytes: usize) {
+        self.txn.set(key, version, v, bytes);
     }
-    pub(crate) fn drop_key(&mut self, key: String, stamp: u64) {
-        self.txn.drop_key(key, stamp);
+    pub(crate) fn drop_key(&mut self, key: String, version: u64) {
+        self.txn.drop_key(key, version);
     }
     pub(crate) fn expect_job(&mut self, job: &Job) {
         self.txn.expect_job(job);
     }
     pub(crate) fn expect_absent(&mut self, path: String) {
         self.txn.bytes += path.len() + 40;
-        self.txn.txn.conditions.push(Condition { path, stamp: 0 });
+        self.txn.txn.conditions.push(Condition { path, version: 0 });
     }
 }
 
@@ -198,7 +198,7 @@
         }
         let mut f = Flight { asking: true, ..Flight::default() };
         (f.txn.ops, f.txn.conditions) = (ops, ctx.limits.conditions());
-        f.txn.txn.conditions.push(Condition { path: keys::EPOCH.into(), stamp: self.stamp });
+        f.txn.txn.conditions.push(Condition { path: keys::EPOCH.into(), version: self.version });
         self.gather(ctx, &mut f, rate);
         if f.txn.txn.writes.is_empty() {
             return;
@@ -255,8 +255,8 @@
                 break;
             }
             let key = if *n == 0 { keys::OWNED.to_string() } else { format!("{}/{n}", keys::OWNED) };
-            let stamp = self.owned_stamps.get(&key).copied().unwrap_or(0);
-            f.txn.set(key.clone(), stamp, v, bytes);
+            let version = self.owned_versions.get(&key).copied().unwrap_or(0);
+            f.txn.set(key.clone(), version, v, bytes);
             f.owned.extend(self.owned_dirty.pop_last().map(|(n, part)| (key, n, part)));
         }
         if self.catalog_dirty
@@ -267,7 +267,7 @@
             let bytes = v.to_string().len();
             // One that is too long for a value is asked from the cloud by each node.
             if bytes <= ctx.limits.value_bytes() {
-                f.txn.set(keys::CATALOG.into(), self.catalog_stamp.unwrap_or(0), v, bytes);
+                f.txn.set(keys::CATALOG.into(), self.catalog_version.unwrap_or(0), v, bytes);
                 f.catalog = true;
             }
             self.catalog_dirty = false;
@@ -304,8 +304,8 @@
             self.orphans.append(&mut self.legacy);
         }
         while spare(f, self.writes) && !f.txn.full() {
-            let Some((key, stamp)) = self.orphans.pop_first() else { break };
-            f.txn.drop_key(key.clone(), stamp);
+            let Some((key, version)) = self.orphans.pop_first() else { break };
+            f.txn.drop_key(key.clone(), version);
             f.orphans.push(key);
         }
     }
@@ -316,14 +316,14 @@
                 continue;
             }
             let key = format!("{}{name}", keys::HIRES);
-            if h.stamp == 0 && h.answer.is_none() {
+            if h.version == 0 && h.answer.is_none() {
                 f.txn.set(key, 0, json!(h.hire), 200);
                 f.hires.push(name.clone());
                 h.writing = true;
             } else if let Some(machines) = &h.answer
                 && machines.iter().all(|id| self.machines.get(id).is_none_or(|m| m.recorded))
             {
-                f.txn.drop_key(key, h.stamp);
+                f.txn.drop_key(key, h.version);
                 f.hires_dropped.push(name.clone());
                 h.writing = true;
             }
@@ -369,7 +369,7 @@
                 b: m.spot,
                 o: m.owned,
                 e: m.endpoint.clone(),
-                s: m.shift,
+                s: m.session,
                 t: m.hired,
                 i: images,
             };
@@ -414,13 +414,13 @@
                 break;
             }
             let Some(b) = self.blocks.get(&n) else { continue };
-            let (key, stamp) = (format!("{}{n}", keys::BLOCKS), b.stamp);
+            let (key, version) = (format!("{}{n}", keys::BLOCKS), b.version);
             if b.machines.is_empty() {
-                if stamp > 0 && f.txn.takes(1, 1, 100) {
-                    f.txn.drop_key(key, stamp);
+                if version > 0 && f.txn.takes(1, 1, 100) {
+                    f.txn.drop_key(key, version);
                     f.blocks.push((n, Vec::new()));
                     self.dirty_blocks.remove(&n);
-                } else if stamp == 0 {
+                } else if version == 0 {
                     self.blocks.remove(&n);
                     self.dirty_blocks.remove(&n);
                 }
@@ -433,7 +433,7 @@
             if !f.txn.takes(1, 1, bytes) {
                 continue;
             }
-            f.txn.set(key, stamp, v, bytes);
+            f.txn.set(key, version, v, bytes);
             f.blocks.push((n, members));
             self.dirty_blocks.remove(&n);
             self.thinned_blocks.remove(&n);
@@ -450,7 +450,7 @@
         let most = ctx.limits.block_machines();
         let Some(b) = self.blocks.get_mut(&n) else { return false };
         if b.machines.len() <= most {
-            let stored = |n: &u32| self.blocks.get(n).is_none_or(|b| b.stamp > 0) && !self.dirty_blocks.contains(n);
+            let stored = |n: &u32| self.blocks.get(n).is_none_or(|b| b.version > 0) && !self.dirty_blocks.contains(n);
             return !self.blocks[&n].after.iter().all(stored);
         }
         let rest: Vec<Id> = b.machines.iter().skip(most).cloned().collect();
@@ -494,15 +494,15 @@
         }
         let path = format!("{}{id}", keys::JOBS);
         if f.txn.jobs.insert(id.clone()) {
-            f.txn.drop_key(path, job.stamp);
+            f.txn.drop_key(path, job.version);
         } else {
             f.txn.txn.writes.push(Write::drop_key(path));
         }
-        let rec = FinalRecord { x: job.aborted, n: job.spec.pieces, t: ctx.now.wall };
+        let rec = FinalRecord { x: job.aborted, n: job.spec.tasks, t: ctx.now.wall };
         f.txn.set(format!("{}{id}", keys::FINALS), 0, json!(rec), 50);
         if job.cancel_key {
             // Written with the job's record, so of the same revision.
-            f.txn.drop_key(format!("{}{id}", keys::CANCELLED), job.stamp);
+            f.txn.drop_key(format!("{}{id}", keys::CANCELLED), job.version);
         }
         f.finals.push(id.clone());
         true
@@ -567,8 +567,8 @@
     pub(crate) fn settle(&mut self, ctx: &mut Ctx, result: Result<StateReply, IoError>) {
         let Some(f) = &mut self.flight else { return };
         let Some(key) = f.txn.marker().map(str::to_string) else { return };
-        let stamp = match &result {
-            Ok(StateReply::Found(pair)) => pair.stamp,
+        let version = match &result {
+            Ok(StateReply::Found(pair)) => pair.version,
             Ok(StateReply::Missing) => 0,
             _ => {
                 f.asking = false;
@@ -576,8 +576,8 @@
                 return;
             }
         };
-        let before = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
-        if stamp == before {
+        let before = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.version);
+        if version == before {
             let conflict = std::mem::take(&mut f.conflict);
             if f.rejected {
                 // What follows is smaller and writes the same keys: only one of the two can be
@@ -601,17 +601,17 @@
         }
         // Changed: by us, if the epoch is still ours.
         let conditions =
-            vec![Condition { path: keys::EPOCH.into(), stamp: self.stamp }, Condition { path: key, stamp }];
-        let wait = self.wait(LeadWait::Settled(stamp));
+            vec![Condition { path: keys::EPOCH.into(), version: self.version }, Condition { path: key, version }];
+        let wait = self.wait(LeadWait::Settled(version));
         ctx.state(StateRequest::Txn(Txn { conditions, writes: Vec::new() }), wait);
     }
 
     /// Whether the key that was read and the epoch held at the same time.
-    pub(crate) fn settled(&mut self, ctx: &mut Ctx, stamp: u64, result: Result<StateReply, IoError>) {
+    pub(crate) fn settled(&mut self, ctx: &mut Ctx, version: u64, result: Result<StateReply, IoError>) {
         match result {
             Ok(StateReply::Committed(_)) => {
                 if let Some(f) = self.flight.take() {
-                    self.succeeded(ctx, f, stamp);
+                    self.succeeded(ctx, f, version);
                 }
             }
             Ok(StateReply::Conflict(_)) => self.down = Some("a newer epoch has begun"),
@@ -631,7 +631,7 @@
             let Some(p) = m.places.iter_mut().find(|p| p.slot == slot) else { continue };
             p.stage = Stage::Committed;
             if let Some(job) = self.jobs.get_mut(&p.job)
-                && let Some(l) = job.live.get_mut(&p.piece).and_then(|l| l.iter_mut().find(|l| l.slot == slot))
+                && let Some(l) = job.live.get_mut(&p.task).and_then(|l| l.iter_mut().find(|l| l.slot == slot))
             {
                 l.planned = false;
             }
@@ -655,7 +655,7 @@
                 continue;
             }
             if let Some(b) = self.blocks.get_mut(&n) {
-                b.stamp = if members.is_empty() { 0 } else { ledger };
+                b.version = if members.is_empty() { 0 } else { ledger };
                 b.after.clear();
             }
             for id in members {
@@ -667,7 +667,7 @@
         }
         for name in f.hires {
             if let Some(h) = self.hires.get_mut(&name) {
-                h.stamp = ledger;
+                h.version = ledger;
                 h.writing = false;
             }
         }
@@ -675,9 +675,9 @@
             self.hires.remove(&name);
         }
         self.orphans.extend(f.parts.into_iter().flat_map(|parts| parts.into_iter().skip(1)));
-        self.owned_stamps.extend(f.owned.into_iter().map(|(key, ..)| (key, ledger)));
+        self.owned_versions.extend(f.owned.into_iter().map(|(key, ..)| (key, ledger)));
         if f.catalog {
-            self.catalog_stamp = Some(ledger);
+            self.catalog_version = Some(ledger);
         }
     }
 
@@ -718,8 +718,8 @@
         let taken = |parts: &Parts| stale.iter().any(|id| parts.iter().any(|(key, _)| key[2..].starts_with(&**id)));
         self.dead_parts.extend(f.parts.into_iter().filter(|parts| !taken(parts)));
         for key in f.orphans {
-            let stamp = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.stamp);
-            self.orphans.insert(key, stamp);
+            let version = f.txn.txn.conditions.iter().find(|c| c.path == key).map_or(0, |c| c.version);
+            self.orphans.insert(key, version);
         }
         self.owned_dirty.extend(f.owned.into_iter().map(|(_, n, part)| (n, part)));
         self.catalog_dirty |= f.catalog;
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -58,13 +58,13 @@
         let token = self.machines.get(machine).map_or(0, |m| self.token(m));
         let epoch = self.epoch;
         let Some(m) = self.machines.get_mut(machine) else { return false };
-        if m.heard.is_some() && (r.shift, r.tick) <= m.last || r.shift < m.shift {
+        if m.heard.is_some() && (r.session, r.tick) <= m.last || r.session < m.session {
             return false;
         }
         if m.heard.is_none() || !m.answers(now, &ctx.set) {
             self.replan = true;
         }
-        m.last = (r.shift, r.tick);
+        m.last = (r.session, r.tick);
         m.heard = Some(now);
         m.cut = false;
         match self.zones_heard.get_mut(&m.zone) {
@@ -106,8 +106,8 @@
         }
         // In a newer session whatever was placed in an earlier one is gone, and commands for that
         // session no longer count.
-        m.shift = r.shift;
-        let lost: Vec<u64> = m.places.iter().filter(|p| p.shift < r.shift).map(|p| p.slot).collect();
+        m.session = r.session;
+        let lost: Vec<u64> = m.places.iter().filter(|p| p.session < r.session).map(|p| p.slot).collect();
         let current = r.token >= token;
         if current && !m.ours {
             m.ours = true;
@@ -122,12 +122,12 @@
         let answered = checkin && std::mem::take(&mut m.answer_open);
         let open = m.call.is_some() || m.answer_open;
         let local_gb = ctx.catalog.as_ref().and_then(|c| c.frame(&m.frame)).map_or(0.0, |f| f.local_gb);
-        let mut seen: Vec<(&str, u32, u64, &PieceReport, bool)> = Vec::with_capacity(r.pieces.len());
+        let mut seen: Vec<(&str, u32, u64, &TaskReport, bool)> = Vec::with_capacity(r.tasks.len());
         let mut strangers = Vec::new();
-        for p in &r.pieces {
-            match split_piece(&p.piece) {
+        for p in &r.tasks {
+            match split_task_name(&p.task) {
                 Some((job, n)) => seen.push((job, n, p.attempt, p, false)),
-                None => strangers.push((p.piece.clone(), p.attempt, exit_cause(p.status, p.cause))),
+                None => strangers.push((p.task.clone(), p.attempt, exit_cause(p.status, p.cause))),
             }
         }
         seen.sort_unstable_by_key(|s| (s.0, s.1, s.2));
@@ -135,14 +135,14 @@
         let mut absent: Vec<u64> = Vec::new();
         let mut images: Vec<(u32, f64)> = Vec::new();
         let (mut heard_us, mut unheard, mut again) = (false, false, false);
-        for p in m.places.iter_mut().filter(|p| p.shift >= r.shift) {
-            let at = seen.binary_search_by(|s| (s.0, s.1, s.2).cmp(&(&*p.job, p.piece, p.attempt)));
+        for p in m.places.iter_mut().filter(|p| p.session >= r.session) {
+            let at = seen.binary_search_by(|s| (s.0, s.1, s.2).cmp(&(&*p.job, p.task, p.attempt)));
             let shown = at.ok().and_then(|i| seen.get_mut(i)).map(|s| {
                 s.4 = true;
                 (s.3.status, s.3.cause)
             });
             match shown {
-                Some((PieceStatus::Exited, cause)) => {
+                Some((TaskStatus::Exited, cause)) => {
                     heard_us |= p.stage == Stage::Committed;
                     if current {
                         ended.push((p.slot, cause.unwrap_or(Cause::Unknown)));
@@ -153,8 +153,8 @@
                     p.sent = true;
                     let was = matches!(p.stage, Stage::Running | Stage::Flushing);
                     p.stage = match status {
-                        PieceStatus::Fetching | PieceStatus::Gathering => Stage::Fetching,
-                        PieceStatus::Flushing => Stage::Flushing,
+                        TaskStatus::Fetching | TaskStatus::Gathering => Stage::Fetching,
+                        TaskStatus::Flushing => Stage::Flushing,
                         _ => Stage::Running,
                     };
                     let runs = matches!(p.stage, Stage::Running | Stage::Flushing);
@@ -183,8 +183,8 @@
                 None => {}
             }
         }
-        for (bundle, gb) in images {
-            m.touch_image(bundle, gb, local_gb);
+        for (image, gb) in images {
+            m.touch_image(image, gb, local_gb);
         }
         if heard_us {
             m.deaf = 0;
@@ -195,7 +195,7 @@
             self.push.insert(machine.clone());
         }
         let strange = seen.iter().filter(|s| !s.4).map(|s| s.3);
-        strangers.extend(strange.map(|p| (p.piece.clone(), p.attempt, exit_cause(p.status, p.cause))));
+        strangers.extend(strange.map(|p| (p.task.clone(), p.attempt, exit_cause(p.status, p.cause))));
         m.strangers = strangers;
         let (warned, known) = (m.warned.is_some(), m.block.is_some());
         if !known {
@@ -220,14 +220,14 @@
     fn ended(&mut self, ctx: &mut Ctx, machine: &Id, slot: u64, cause: Cause) {
         let now = ctx.now.mono;
         let Some(p) = self.release(now, machine, slot, cause == Cause::Done) else { return };
-        let name = format!("{}/{}", p.job, p.piece);
+        let name = format!("{}/{}", p.job, p.task);
         if let Some(m) = self.machines.get_mut(machine) {
             m.strangers.push((name.clone(), p.attempt, Some(cause)));
         }
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
         match cause {
             Cause::Done if !job.is_service() => {
-                job.mark_done(p.piece);
+                job.mark_done(p.task);
                 // It does well after all: where it failed, that was the machine.
                 let failed_on = if job.failures > 0 { job.failed_on.clone() } else { BTreeSet::new() };
                 job.failures = 0;
@@ -244,7 +244,7 @@
                     m.failures.clear();
                     m.sick_times = 0;
                 }
-                self.touch(now, &p.job, p.piece, false);
+                self.touch(now, &p.job, p.task, false);
                 for id in failed_on.iter().filter(|id| *id != machine) {
                     if self.machines.get(id).is_some_and(|m| m.failures.contains(&p.job)) {
                         self.set_aside(ctx, id);
@@ -336,19 +336,19 @@
         let mut runs = Vec::new();
         let mut first = Vec::new();
         for p in &mut m.places {
-            let piece = || format!("{}/{}", p.job, p.piece);
+            let task = || format!("{}/{}", p.job, p.task);
             match (p.halt, p.stage) {
                 (Some(_), Stage::Planned) | (None, Stage::Planned) => {}
                 (Some(wind_down_s), Stage::Fetching | Stage::Running) => {
-                    halts.push(Order::Halt { piece: piece(), attempt: p.attempt, wind_down_s });
+                    halts.push(Order::Halt { task: task(), attempt: p.attempt, wind_down_s });
                 }
                 (Some(0.0), Stage::Flushing) => {
-                    halts.push(Order::Halt { piece: piece(), attempt: p.attempt, wind_down_s: 0.0 });
+                    halts.push(Order::Halt { task: task(), attempt: p.attempt, wind_down_s: 0.0 });
                 }
                 (Some(_), Stage::Flushing) => {}
                 // Not seen yet: if the command arrives, the halt behind it ends it.
                 (Some(_), Stage::Committed) => {
-                    halts.push(Order::Halt { piece: piece(), attempt: p.attempt, wind_down_s: 0.0 });
+                    halts.push(Order::Halt { task: task(), attempt: p.attempt, wind_down_s: 0.0 });
                 }
                 // A direct call repeats nothing: what was lost shows in a report. An answer follows
                 // a report that lacks it.
@@ -360,7 +360,7 @@
                         first.push(p.slot);
                     }
                     p.sent = true;
-                    runs.push(Order::Run { piece: piece(), attempt: p.attempt });
+                    runs.push(Order::Run { task: task(), attempt: p.attempt });
                 }
                 (None, _) => {}
             }
@@ -369,17 +369,17 @@
             m.call_runs = first;
         }
         let settled = answering && m.call.is_none();
-        for (piece, attempt, cause) in &m.strangers {
-            let (piece, attempt) = (piece.clone(), *attempt);
+        for (task, attempt, cause) in &m.strangers {
+            let (task, attempt) = (task.clone(), *attempt);
             match cause {
-                None if m.ours => halts.push(Order::Halt { piece, attempt, wind_down_s: 0.0 }),
+                None if m.ours => halts.push(Order::Halt { task, attempt, wind_down_s: 0.0 }),
                 None => {}
                 Some(_) if settled => {
                     // Only after its outcome is committed.
-                    let open = split_piece(&piece)
+                    let open = split_task_name(&task)
                         .is_some_and(|(job, n)| self.jobs.get(job).is_some_and(|j| j.pending.contains_key(&n)));
                     if !open {
-                        runs.push(Order::Forget { piece, attempt });
+                        runs.push(Order::Forget { task, attempt });
                     }
                 }
                 Some(_) => {}
@@ -410,7 +410,7 @@
                 m.push = true;
             } else if now < m.call_after {
                 self.push_later.insert((m.call_after, id));
-            } else if !m.endpoint.is_empty() && m.shift > 0 {
+            } else if !m.endpoint.is_empty() && m.session > 0 {
                 self.call(ctx, &id, false);
             }
         }
@@ -419,7 +419,7 @@
         let most = (ctx.set.state_rps / 4.0).max(1.0) as u32;
         while self.confirming < most {
             let Some(id) = self.confirm.pop_front() else { break };
-            let open = |m: &Machine| !m.ours && m.call.is_none() && !m.endpoint.is_empty() && m.shift > 0;
+            let open = |m: &Machine| !m.ours && m.call.is_none() && !m.endpoint.is_empty() && m.session > 0;
             if self.machines.get(&id).is_some_and(open) {
                 self.call(ctx, &id, true);
             }
@@ -436,7 +436,7 @@
         }
         let token = (self.epoch << crate::leader::TOKEN_BITS) + m.bump;
         let risky = !orders.is_empty();
-        let body = Orders { token, shift: m.shift, orders };
+        let body = Orders { token, session: m.session, orders };
         let to = m.endpoint.clone();
         let wait = self.wait(LeadWait::Orders(id.clone()));
         let call = ctx.orders(to, body, wait);
@@ -676,6 +676,6 @@
 }
 
 /// Why a task ended, if it has.
-fn exit_cause(status: PieceStatus, cause: Option<Cause>) -> Option<Cause> {
-    (status == PieceStatus::Exited).then_some(cause.unwrap_or(Cause::Unknown))
+fn exit_cause(status: TaskStatus, cause: Option<Cause>) -> Option<Cause> {
+    (status == TaskStatus::Exited).then_some(cause.unwrap_or(Cause::Unknown))
 }
--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -63,7 +63,7 @@
 #[derive(Debug, Default)]
 struct Known {
     /// Version of its record.
-    stamp: u64,
+    version: u64,
     /// Jobs that it awaits, as far as they were not known to be done.
     awaits: Vec<String>,
     /// It was neither cancelled nor finished later than this.
@@ -187,7 +187,7 @@
             return Some("a task fits no allowed machine type");
         }
         let mut all = Room::default();
-        all.add(&need, if s.shape == Shape::Array { 1 } else { i64::from(s.pieces) });
+        all.add(&need, if s.shape == Shape::Array { 1 } else { i64::from(s.tasks) });
         if !team.allows(&all) {
             return Some("more than the team's limit");
         }
@@ -389,13 +389,13 @@
     /// when it is compared.
     pub fn learn<'a>(&mut self, ctx: &Ctx, jobs: impl Iterator<Item = (&'a str, u64)>) {
         let cap = Self::cap(ctx);
-        for (job, stamp) in jobs {
+        for (job, version) in jobs {
             match self.open.of.get_mut(job) {
                 Some(known) => {
-                    known.stamp = stamp.max(known.stamp);
+                    known.version = version.max(known.version);
                     known.awaits.clear();
                 }
-                None => self.open.insert(job, Known { stamp, ..Known::default() }, cap),
+                None => self.open.insert(job, Known { version, ..Known::default() }, cap),
             }
         }
     }
@@ -419,13 +419,13 @@
             while txn.conditions.len() < most
                 && let Some((_, asked)) = self.polls.pop_front()
             {
-                let Some(stamp) = self.open.of.get(&asked.job).map(|k| k.stamp) else {
+                let Some(version) = self.open.of.get(&asked.job).map(|k| k.version) else {
                     self.read(ctx, asked);
                     continue;
                 };
                 let path = format!("{}{}", keys::JOBS, asked.job);
                 if !txn.conditions.iter().any(|c| c.path == path) {
-                    txn.conditions.push(Condition { path, stamp });
+                    txn.conditions.push(Condition { path, version });
                 }
                 batch.push(asked);
             }
@@ -553,7 +553,7 @@
                     continue;
                 }
                 let v = if p.doomed {
-                    json!(FinalRecord { x: true, n: p.spec.pieces, t: p.wall })
+                    json!(FinalRecord { x: true, n: p.spec.tasks, t: p.wall })
                 } else {
                     json!(JobRecord { s: p.spec.clone(), at: p.wall, x: false, k: false })
                 };
@@ -569,8 +569,8 @@
                     break;
                 }
                 let end = format!("{}{}", keys::FINALS, p.spec.id);
-                txn.conditions.push(Condition { path: key.clone(), stamp: 0 });
-                txn.conditions.push(Condition { path: end.clone(), stamp: 0 });
+                txn.conditions.push(Condition { path: key.clone(), version: 0 });
+                txn.conditions.push(Condition { path: end.clone(), version: 0 });
                 txn.writes.push(Write::set(if p.doomed { end } else { key }, v));
                 batch.push(p);
                 if batch.len() >= self.most.clamp(1, ctx.limits.ops().max(1)) {
@@ -617,7 +617,7 @@
                         self.read_parts(ctx, asked, got);
                     } else if let Some(rec) = join(&got.0, &got.2) {
                         // Its own record was read before; who awaits it looks again.
-                        let known = Known { stamp: got.1, awaits: rec.s.awaits, open_at: Moment::default() };
+                        let known = Known { version: got.1, awaits: rec.s.awaits, open_at: Moment::default() };
                         self.open.insert(&asked.job, known, Self::cap(ctx));
                         self.open_job(ctx, asked, sent, counts, leader);
                     } else {
@@ -671,18 +671,18 @@
                         self.reply(ctx, &asked, unavailable("record not understood"));
                         return;
                     };
-                    let (cancelled, pieces) = rec.cancelled();
+                    let (cancelled, tasks) = rec.cancelled();
                     if cancelled {
-                        self.remember(ctx, &asked.job, JobStatus::Aborted, pieces);
-                        let view = final_view(&asked.job, JobStatus::Aborted, pieces);
+                        self.remember(ctx, &asked.job, JobStatus::Aborted, tasks);
+                        let view = final_view(&asked.job, JobStatus::Aborted, tasks);
                         self.reply(ctx, &asked, Answer::Job(200, view));
                     } else if asked.why == Why::Withdraw {
                         let key = format!("{}{}", keys::JOBS, asked.job);
                         let cancel = format!("{}{}", keys::CANCELLED, asked.job);
                         let txn = Txn {
                             conditions: vec![
-                                Condition { path: key.clone(), stamp: pair.stamp },
-                                Condition { path: cancel.clone(), stamp: 0 },
+                                Condition { path: key.clone(), version: pair.version },
+                                Condition { path: cancel.clone(), version: 0 },
                             ],
                             writes: vec![Write::set(key, rec.into_cancelled()), Write::set(cancel, json!(true))],
                         };
@@ -690,11 +690,13 @@
                     } else {
                         match rec {
                             Stored::Whole(rec) => {
-                                let known = Known { stamp: pair.stamp, awaits: rec.s.awaits, open_at: sent };
+                                let known = Known { version: pair.version, awaits: rec.s.awaits, open_at: sent };
                                 self.open.insert(&asked.job, known, Self::cap(ctx));
                                 self.open_job(ctx, asked, sent, counts, leader);
                             }
-                            Stored::Large(rec) => self.read_parts(ctx, asked, Box::new((rec, pair.stamp, Vec::new()))),
+                            Stored::Large(rec) => {
+                                self.read_parts(ctx, asked, Box::new((rec, pair.version, Vec::new())))
+                            }
                         }
                     }
                 }
@@ -775,10 +777,10 @@
                 for p in batch {
                     ctx.log(Severity::Debug, format!("job {} accepted", p.spec.id));
                     let view = if p.doomed {
-                        self.remember(ctx, &p.spec.id, JobStatus::Aborted, p.spec.pieces);
-                        final_view(&p.spec.id, JobStatus::Aborted, p.spec.pieces)
+                        self.remember(ctx, &p.spec.id, JobStatus::Aborted, p.spec.tasks);
+                        final_view(&p.spec.id, JobStatus::Aborted, p.spec.tasks)
                     } else {
-                        let known = Known { stamp: ledger, awaits: p.spec.awaits, open_at: sent };
+                        let known = Known { version: ledger, awaits: p.spec.awaits, open_at: sent };
                         self.open.insert(&p.spec.id, known, Self::cap(ctx));
                         JobView { id: p.spec.id, status: JobStatus::Queued, done: None, running: None }
                     };
@@ -804,7 +806,7 @@
                     self.queue.push_front(p);
                 }
             }
-            // Too large by now: again in smaller pieces.
+            // Too large by now: again in smaller tasks.
             Err(IoError::Rejected(_)) if ctx.limits.too_large() => {
                 self.most = batch.len() / 2;
                 for p in batch.into_iter().rev() {
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -50,7 +50,7 @@
 pub(crate) struct HireState {
     pub hire: shaleshunt_wire::cloud::Hire,
     /// Version of its record; 0 until recorded.
-    pub stamp: u64,
+    pub version: u64,
     pub writing: bool,
     pub asking: bool,
     pub retry_at: u64,
@@ -75,7 +75,7 @@
 /// The leader's state.
 pub struct Leader {
     pub(crate) epoch: u64,
-    pub(crate) stamp: u64,
+    pub(crate) version: u64,
     pub(crate) pass: u64,
     /// Everything has been read.
     pub(crate) active: bool,
@@ -159,10 +159,10 @@
     pub(crate) hire_count: u64,
     pub(crate) owned: Option<BTreeSet<String>>,
     /// Versions of the keys that hold them, and the parts to be written.
-    pub(crate) owned_stamps: BTreeMap<String, u64>,
+    pub(crate) owned_versions: BTreeMap<String, u64>,
     pub(crate) owned_dirty: BTreeMap<u32, Vec<String>>,
     owned_parts: BTreeSet<String>,
-    pub(crate) catalog_stamp: Option<u64>,
+    pub(crate) catalog_version: Option<u64>,
     pub(crate) catalog_dirty: bool,
     pub(crate) teams: BTreeMap<String, Room>,
     pub(crate) flight: Option<Flight>,
@@ -182,11 +182,11 @@
 }
 
 impl Leader {
-    pub(crate) fn new(ctx: &mut Ctx, epoch: u64, stamp: u64, pass: u64) -> Leader {
+    pub(crate) fn new(ctx: &mut Ctx, epoch: u64, version: u64, pass: u64) -> Leader {
         let now = ctx.now.mono;
         let mut l = Leader {
             epoch,
-            stamp,
+            version,
             pass,
             active: false,
             down: None,
@@ -246,10 +246,10 @@
             hires: BTreeMap::new(),
             hire_count: 0,
             owned: None,
-            owned_stamps: BTreeMap::new(),
+            owned_versions: BTreeMap::new(),
             owned_dirty: BTreeMap::new(),
             owned_parts: BTreeSet::new(),
-            catalog_stamp: None,
+            catalog_version: None,
             catalog_dirty: false,
             teams: BTreeMap::new(),
             flight: None,
@@ -292,7 +292,7 @@
         }
         for pair in page.pairs {
             match prefix {
-                keys::JOBS => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
+                keys::JOBS => self.job_set(ctx, &pair.path, pair.v, pair.version),
                 keys::PARTS => self.part_pairs.push(pair),
                 keys::PAGES => self.page_pairs.push(pair),
                 keys::BLOCKS => self.block_pairs.push(pair),
@@ -302,7 +302,7 @@
                     if let Ok(hire) = serde_json::from_value::<shaleshunt_wire::cloud::Hire>(pair.v) {
                         let state = HireState {
                             hire,
-                            stamp: pair.stamp,
+                            version: pair.version,
                             writing: false,
                             asking: false,
                             retry_at: 0,
@@ -314,10 +314,10 @@
                 _ => match pair.path.as_str() {
                     path if path.starts_with(keys::OWNED) => {
                         self.owned_parts.extend(serde_json::from_value::<Vec<String>>(pair.v).unwrap_or_default());
-                        self.owned_stamps.insert(pair.path, pair.stamp);
+                        self.owned_versions.insert(pair.path, pair.version);
                     }
                     keys::CATALOG => {
-                        self.catalog_stamp = Some(pair.stamp);
+                        self.catalog_version = Some(pair.version);
                         if ctx.catalog.is_none() {
                             ctx.catalog = serde_json::from_value(pair.v).ok();
                         }
@@ -342,7 +342,7 @@
     /// Everything has been read: joins outcomes and placements to jobs and begins to act.
     fn activate(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
-        if self.owned_stamps.contains_key(keys::OWNED) {
+        if self.owned_versions.contains_key(keys::OWNED) {
             self.owned = Some(std::mem::take(&mut self.owned_parts));
         }
         let (parts, large) = (std::mem::take(&mut self.part_pairs), std::mem::take(&mut self.large));
@@ -370,7 +370,7 @@
         }
         // All are asked, some at a time, so that the new token is confirmed before the next report.
         self.confirm =
-            self.machines.values().filter(|m| !m.endpoint.is_empty() && m.shift > 0).map(|m| m.id.clone()).collect();
+            self.machines.values().filter(|m| !m.endpoint.is_empty() && m.session > 0).map(|m| m.id.clone()).collect();
         ctx.log(
             Severity::Info,
             format!("epoch {}: read {} jobs, {} machines", self.epoch, self.jobs.len(), self.machines.len()),
@@ -382,7 +382,7 @@
         let Ok(n) = pair.path[keys::BLOCKS.len()..].parse::<u32>() else { return };
         let Ok(rec) = serde_json::from_value::<BlockRecord>(pair.v) else { return };
         let images: Vec<(u32, f64)> = rec.i.iter().map(|(name, gb)| (self.image(name), *gb)).collect();
-        let mut block = Block { zone: rec.z.clone(), stamp: pair.stamp, wrote: ctx.now.mono, ..Block::default() };
+        let mut block = Block { zone: rec.z.clone(), version: pair.version, wrote: ctx.now.mono, ..Block::default() };
         for (name, r) in rec.m {
             let id: Id = name.as_str().into();
             // In two blocks only if its move between them was not finished: either will do.
@@ -390,7 +390,7 @@
                 continue;
             }
             let mut m = self.new_machine(ctx, &id, &r.f, &rec.z, r.b, r.o);
-            (m.endpoint, m.shift, m.hired) = (r.e, r.s, r.t);
+            (m.endpoint, m.session, m.hired) = (r.e, r.s, r.t);
             m.images = r.i.iter().filter_map(|i| images.get(*i as usize).copied()).collect();
             (m.block, m.recorded) = (Some(n), true);
             block.owned = r.o;
@@ -402,10 +402,10 @@
     }
 
     /// A placement that an earlier leader committed. That of a task whose outcome is committed is void.
-    pub(crate) fn placed_before(&mut self, ctx: &Ctx, id: &Id, machine: &Id, shift: u64, attempt: u64, piece: u32) {
-        let Some(job) = self.jobs.get(id).filter(|j| !j.done.get(piece) && piece < j.spec.pieces) else { return };
+    pub(crate) fn placed_before(&mut self, ctx: &Ctx, id: &Id, machine: &Id, session: u64, attempt: u64, task: u32) {
+        let Some(job) = self.jobs.get(id).filter(|j| !j.done.get(task) && task < j.spec.tasks) else { return };
         let known =
-            job.live.get(&piece).is_some_and(|l| l.iter().any(|l| l.machine == *machine && l.attempt == attempt));
+            job.live.get(&task).is_some_and(|l| l.iter().any(|l| l.machine == *machine && l.attempt == attempt));
         if known {
             return;
         }
@@ -423,9 +423,9 @@
         }
         let p = Placement {
             job: id.clone(),
-            piece,
+            task,
             attempt,
-            shift,
+            session,
             slot: self.next_slot(),
             need,
             image,
@@ -456,30 +456,30 @@
                 job.done_count = job.done.count();
                 job.begun = true;
                 let new = |i: &u32| job.done.get(*i) && !before.get(*i);
-                touched.extend((0..job.spec.pieces).filter(new).map(|i| (job.id.clone(), i)));
+                touched.extend((0..job.spec.tasks).filter(new).map(|i| (job.id.clone(), i)));
             }
-            self.legacy.insert(pair.path, pair.stamp);
+            self.legacy.insert(pair.path, pair.version);
         }
         for pair in std::mem::take(&mut self.old_machines) {
             let name: Id = pair.path[keys::OLD_MACHINES.len()..].into();
-            self.legacy.insert(pair.path, pair.stamp);
+            self.legacy.insert(pair.path, pair.version);
             let Ok(rec) = serde_json::from_value::<OldMachineRecord>(pair.v) else { continue };
             if !self.machines.contains_key(&name) {
                 let mut m = self.new_machine(ctx, &name, &rec.f, &rec.z, rec.b, rec.o);
-                (m.endpoint, m.shift, m.hired) = (rec.e, rec.s, rec.t);
+                (m.endpoint, m.session, m.hired) = (rec.e, rec.s, rec.t);
                 self.machines.insert(name.clone(), m);
                 self.join_block(ctx, &name);
             }
-            for (job, piece, attempt) in rec.p {
-                let unknown = |j: &&Job| j.facts.get(piece as usize).is_none_or(|at| *at == 0);
+            for (job, task, attempt) in rec.p {
+                let unknown = |j: &&Job| j.facts.get(task as usize).is_none_or(|at| *at == 0);
                 if let Some(id) = self.jobs.get(job.as_str()).filter(unknown).map(|j| j.id.clone()) {
-                    self.placed_before(ctx, &id, &name, rec.s, attempt, piece);
-                    touched.push((id, piece));
+                    self.placed_before(ctx, &id, &name, rec.s, attempt, task);
+                    touched.push((id, task));
                 }
             }
         }
-        for (id, piece) in touched {
-            self.touch(now, &id, piece, true);
+        for (id, task) in touched {
+            self.touch(now, &id, task, true);
         }
     }
 
@@ -520,9 +520,9 @@
         ctx.state(StateRequest::Watch { prefix: keys::JOBS.into(), after, hold_ms }, wait);
     }
 
-    fn job_set(&mut self, ctx: &mut Ctx, path: &str, v: Value, stamp: u64) {
+    fn job_set(&mut self, ctx: &mut Ctx, path: &str, v: Value, version: u64) {
         let id = &path[keys::JOBS.len().min(path.len())..];
-        if self.jobs.get(id).is_some_and(|j| j.stamp > stamp) {
+        if self.jobs.get(id).is_some_and(|j| j.version > version) {
             return;
         }
         let Some(rec) = Stored::read(v) else {
@@ -532,7 +532,7 @@
         let (cancelled, _) = rec.cancelled();
         if let Some(job) = self.jobs.get_mut(id) {
             self.replan = true;
-            job.stamp = stamp;
+            job.version = version;
             job.stale = false;
             job.cancel_key = match &rec {
                 Stored::Whole(r) => r.k,
@@ -548,20 +548,20 @@
             return;
         }
         match rec {
-            Stored::Whole(rec) => self.record_set(ctx, *rec, stamp),
-            Stored::Large(rec) if self.active => self.read_parts(ctx, rec, stamp, Vec::new()),
-            Stored::Large(rec) => self.large.push((rec, stamp)),
+            Stored::Whole(rec) => self.record_set(ctx, *rec, version),
+            Stored::Large(rec) if self.active => self.read_parts(ctx, rec, version, Vec::new()),
+            Stored::Large(rec) => self.large.push((rec, version)),
         }
     }
 
     /// A job that was not known has come.
-    pub(crate) fn record_set(&mut self, ctx: &mut Ctx, rec: JobRecord, stamp: u64) {
-        if self.jobs.get(rec.s.id.as_str()).is_some_and(|j| j.stamp >= stamp) {
+    pub(crate) fn record_set(&mut self, ctx: &mut Ctx, rec: JobRecord, version: u64) {
+        if self.jobs.get(rec.s.id.as_str()).is_some_and(|j| j.version >= version) {
             return;
         }
         self.replan = true;
-        let mut job = Job::new(rec, stamp);
-        job.image = self.image(&job.spec.bundle);
+        let mut job = Job::new(rec, version);
+        job.image = self.image(&job.spec.image);
         let (id, aborted, awaits) = (job.id.clone(), job.aborted, job.awaits());
         self.jobs.insert(id.clone(), job);
         self.ranks_old = true;
@@ -582,7 +582,7 @@
             && let Some(j) = self.jobs.get(id)
         {
             let rec = JobRecord { s: j.spec.clone(), at: j.at, x: false, k: false };
-            self.arrivals.push((now, Job::new(rec, j.stamp)));
+            self.arrivals.push((now, Job::new(rec, j.version)));
         }
     }
 
@@ -643,10 +643,10 @@
                 self.watch_from = Some(news.ledger);
                 for change in news.news {
                     match change {
-                        Change { set: Some(path), v: Some(v), stamp, .. } => self.job_set(ctx, &path, v, stamp),
-                        Change { drop: Some(path), stamp, .. } => {
+                        Change { set: Some(path), v: Some(v), version, .. } => self.job_set(ctx, &path, v, version),
+                        Change { drop: Some(path), version, .. } => {
                             let id = path[keys::JOBS.len().min(path.len())..].to_string();
-                            if self.jobs.get(id.as_str()).is_some_and(|j| j.stamp < stamp) {
+                            if self.jobs.get(id.as_str()).is_some_and(|j| j.version < version) {
                                 self.job_gone(ctx, &id);
                             }
                         }
@@ -657,17 +657,17 @@
             }
             (LeadWait::Watch, Ok(StateReply::TooOld)) => self.down = Some("changes were missed"),
             (LeadWait::Watch, _) => self.watch_at = Some(ctx.now.mono + ctx.set.report_ms() / 20),
-            (LeadWait::Refresh(_), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.stamp),
+            (LeadWait::Refresh(_), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.version),
             (LeadWait::Refresh(id), Ok(StateReply::Missing)) => self.job_gone(ctx, &id),
             (LeadWait::Refresh(id), _) => self.refresh(ctx, id),
             (LeadWait::Parts(got), result) => {
-                let (rec, stamp, pairs) = *got;
-                self.parts_read(ctx, rec, stamp, pairs, result);
+                let (rec, version, pairs) = *got;
+                self.parts_read(ctx, rec, version, pairs, result);
             }
             (LeadWait::End(id), result) => self.end_read(ctx, id, result),
             (LeadWait::Commit, result) => self.committed(ctx, result),
             (LeadWait::Settle, result) => self.settle(ctx, result),
-            (LeadWait::Settled(stamp), result) => self.settled(ctx, stamp, result),
+            (LeadWait::Settled(version), result) => self.settled(ctx, version, result),
             _ => {}
         }
     }
@@ -711,8 +711,8 @@
         }
         self.ask_ends(ctx);
         while let Some(i) = self.parts_later.iter().position(|(at, ..)| now >= *at) {
-            let (_, rec, stamp) = self.parts_later.swap_remove(i);
-            self.read_parts(ctx, rec, stamp, Vec::new());
+            let (_, rec, version) = self.parts_later.swap_remove(i);
+            self.read_parts(ctx, rec, version, Vec::new());
         }
         self.rounds(ctx);
         if self.replan && now >= self.plan_at {
@@ -783,7 +783,7 @@
             spot,
             owned,
             endpoint: String::new(),
-            shift: 0,
+            session: 0,
             hired: ctx.now.wall,
             room,
             used: Room::default(),
@@ -824,15 +824,15 @@
         let Some(m) = self.machines.get_mut(machine) else { return };
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
         m.used.add(&p.need, 1);
-        let list = job.live.entry(p.piece).or_default();
-        if list.is_empty() && !job.done.get(p.piece) {
+        let list = job.live.entry(p.task).or_default();
+        if list.is_empty() && !job.done.get(p.task) {
             job.placed += 1;
         }
         list.push(Live {
             machine: machine.clone(),
             slot: p.slot,
             attempt: p.attempt,
-            shift: p.shift,
+            session: p.session,
             planned: p.stage == Stage::Planned,
         });
         *job.zones.entry(m.zone.clone()).or_default() += 1;
@@ -854,12 +854,12 @@
         }
         self.replan = true;
         if let Some(job) = self.jobs.get_mut(&p.job) {
-            if let Some(list) = job.live.get_mut(&p.piece) {
+            if let Some(list) = job.live.get_mut(&p.task) {
                 list.retain(|l| l.slot != slot);
                 if list.is_empty() {
-                    job.live.remove(&p.piece);
-                    job.cursor = job.cursor.min(p.piece);
-                    if !job.done.get(p.piece) {
+                    job.live.remove(&p.task);
+                    job.cursor = job.cursor.min(p.task);
+                    if !job.done.get(p.task) {
                         job.placed = job.placed.saturating_sub(1);
                     }
                 }
@@ -879,7 +879,7 @@
             }
             let aborted = job.aborted;
             if !done {
-                self.touch(now, &p.job, p.piece, false);
+                self.touch(now, &p.job, p.task, false);
             }
             if aborted {
                 self.queue_write(now, &p.job);
@@ -923,7 +923,7 @@
         self.jobs
             .values()
             .filter(|j| !j.aborted && !j.awaits())
-            .map(|j| (j.id.to_string(), j.stamp, j.done_count, j.running))
+            .map(|j| (j.id.to_string(), j.version, j.done_count, j.running))
             .take(shaleshunt_peer::MAX_FRAME / 256)
             .collect()
     }
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -69,7 +69,7 @@
         self.s.awaits.clear();
         self.s.frames = None;
         self.s.zone = None;
-        self.s.bundle.clear();
+        self.s.image.clear();
         JobRecord { x: true, k: true, ..self }
     }
 }
@@ -216,11 +216,11 @@
     /// Job.
     pub job: Id,
     /// Task.
-    pub piece: u32,
+    pub task: u32,
     /// Attempt.
     pub attempt: u64,
     /// The machine's session that it is for: gone in any newer one.
-    pub shift: u64,
+    pub session: u64,
     /// Its number inside this process.
     pub slot: u64,
     /// Room it takes.
@@ -249,7 +249,7 @@
     /// Attempt.
     pub attempt: u64,
     /// The machine's session.
-    pub shift: u64,
+    pub session: u64,
     /// Not committed yet.
     pub planned: bool,
 }
@@ -268,7 +268,7 @@
     /// Number of its image.
     pub image: u32,
     /// Version of its record.
-    pub stamp: u64,
+    pub version: u64,
     /// Cancelled.
     pub aborted: bool,
     /// Its cancellation has a key, written with its record.
@@ -325,18 +325,18 @@
 
 impl Job {
     /// A job from its record.
-    pub fn new(mut rec: JobRecord, stamp: u64) -> Job {
+    pub fn new(mut rec: JobRecord, version: u64) -> Job {
         let awaits = std::mem::take(&mut rec.s.awaits);
         Job {
             id: rec.s.id.as_str().into(),
             need: rec.s.need(),
             at: rec.at,
             image: 0,
-            stamp,
+            version,
             aborted: rec.x,
             cancel_key: rec.k,
             stale: false,
-            done: Bits::new(rec.s.pieces),
+            done: Bits::new(rec.s.tasks),
             done_count: 0,
             pending: BTreeMap::new(),
             urgent: false,
@@ -371,7 +371,7 @@
     }
     /// The first task that is neither done nor placed, from `from` on.
     pub fn next_free(&self, from: u32) -> Option<u32> {
-        (from.max(self.cursor)..self.spec.pieces).find(|&i| !self.done.get(i) && !self.live.contains_key(&i))
+        (from.max(self.cursor)..self.spec.tasks).find(|&i| !self.done.get(i) && !self.live.contains_key(&i))
     }
     /// Whether it awaits other jobs.
     pub fn awaits(&self) -> bool {
@@ -382,15 +382,15 @@
         if self.awaits() {
             return 0;
         }
-        self.spec.pieces.saturating_sub(self.done_count + self.placed)
+        self.spec.tasks.saturating_sub(self.done_count + self.placed)
     }
     /// Whether all tasks are done.
     pub fn complete(&self) -> bool {
-        !self.is_service() && self.done_count >= self.spec.pieces
+        !self.is_service() && self.done_count >= self.spec.tasks
     }
     /// Most tasks that may be in one zone.
     pub fn zone_cap(&self) -> u32 {
-        if self.spec.scatter { self.spec.pieces.div_ceil(2) } else { u32::MAX }
+        if self.spec.scatter { self.spec.tasks.div_ceil(2) } else { u32::MAX }
     }
     /// Deadline as time of day: its own, or what the jobs that await it leave.
     pub fn due(&self) -> Option<u64> {
@@ -398,11 +398,11 @@
         own.into_iter().chain(self.wanted_by).min()
     }
     /// Notes that a task is done; false if that was known. Its placement has been released.
-    pub fn mark_done(&mut self, piece: u32) -> bool {
-        let new = piece < self.spec.pieces && self.done.insert(piece);
+    pub fn mark_done(&mut self, task: u32) -> bool {
+        let new = task < self.spec.tasks && self.done.insert(task);
         if new {
             self.done_count += 1;
-            if self.live.contains_key(&piece) {
+            if self.live.contains_key(&task) {
                 self.placed = self.placed.saturating_sub(1);
             }
         }
@@ -424,7 +424,7 @@
     /// The machines.
     pub machines: BTreeSet<Id>,
     /// Version of its record, 0 if there is none.
-    pub stamp: u64,
+    pub version: u64,
     /// When it was last written: images are noted now and then.
     pub wrote: u64,
     /// Blocks that took over some of its machines: they are stored first.
@@ -447,7 +447,7 @@
     /// Address, empty until known.
     pub endpoint: String,
     /// Session.
-    pub shift: u64,
+    pub session: u64,
     /// When it was hired, time of day.
     pub hired: u64,
     /// All its room.
@@ -539,16 +539,16 @@
         }
     }
     /// Notes that an image is here, forgetting the least recently used beyond `local_gb`.
-    pub fn touch_image(&mut self, bundle: u32, gb: f64, local_gb: f64) {
-        self.images.retain(|(b, _)| *b != bundle);
-        self.images.push((bundle, gb));
+    pub fn touch_image(&mut self, image: u32, gb: f64, local_gb: f64) {
+        self.images.retain(|(b, _)| *b != image);
+        self.images.push((image, gb));
         while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > local_gb {
             self.images.remove(0);
         }
     }
     /// Whether it holds an image.
-    pub fn has_image(&self, bundle: u32) -> bool {
-        self.images.iter().any(|(b, _)| *b == bundle)
+    pub fn has_image(&self, image: u32) -> bool {
+        self.images.iter().any(|(b, _)| *b == image)
     }
 }
 
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -11,7 +11,7 @@
 use shaleshunt_peer::Frame;
 use shaleshunt_wire::cloud::Catalog;
 use shaleshunt_wire::state::{Condition, Txn, Write};
-use shaleshunt_wire::worker::{Order, PieceStatus, Report, ReportReply, split_piece};
+use shaleshunt_wire::worker::{Order, Report, ReportReply, TaskStatus, split_task_name};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
@@ -391,14 +391,14 @@
         if !(ours && unheard && token && report.zone == set.location && now < sure + term) {
             return None;
         }
-        let cancelled = |piece: &str| {
-            split_piece(piece).is_some_and(|(job, _)| self.cancelled.contains(job) || self.front.is_cancelled(job))
+        let cancelled = |task: &str| {
+            split_task_name(task).is_some_and(|(job, _)| self.cancelled.contains(job) || self.front.is_cancelled(job))
         };
         let halts = report
-            .pieces
+            .tasks
             .iter()
-            .filter(|p| p.status != PieceStatus::Exited && cancelled(&p.piece))
-            .map(|p| Order::Halt { piece: p.piece.clone(), attempt: p.attempt, wind_down_s: 0.0 });
+            .filter(|p| p.status != TaskStatus::Exited && cancelled(&p.task))
+            .map(|p| Order::Halt { task: p.task.clone(), attempt: p.attempt, wind_down_s: 0.0 });
         Some(halts.collect())
     }
 
@@ -508,23 +508,23 @@
                 }
             }
             (VoteWait::Hold, Ok(StateReply::Hold(pass))) => {
-                // Read again: the epoch's stamp must be no older than the lease.
+                // Read again: the epoch's version must be no older than the lease.
                 self.ctx.state(
                     StateRequest::Get { key: keys::EPOCH.into() },
                     Wait::Vote(VoteWait::Take { epoch: 0, pass }),
                 );
             }
             (VoteWait::Take { epoch: 0, pass }, Ok(reply @ (StateReply::Found(_) | StateReply::Missing))) => {
-                let (stamp, number) = match &reply {
-                    StateReply::Found(p) => (p.stamp, p.v["epoch"].as_u64().unwrap_or(0)),
+                let (version, number) = match &reply {
+                    StateReply::Found(p) => (p.version, p.v["epoch"].as_u64().unwrap_or(0)),
                     _ => (0, 0),
                 };
                 let epoch = number.max(self.epoch) + 1;
                 let node: Value = json!({"node": self.ctx.set.label, "pass": pass});
                 let txn = Txn {
                     conditions: vec![
-                        Condition { path: keys::LEAD.into(), stamp: 0 },
-                        Condition { path: keys::EPOCH.into(), stamp },
+                        Condition { path: keys::LEAD.into(), version: 0 },
+                        Condition { path: keys::EPOCH.into(), version },
                     ],
                     writes: vec![
                         Write::Set { set: keys::LEAD.into(), v: node, pass: Some(pass) },
--- a/crates/core/src/pages.rs
+++ b/crates/core/src/pages.rs
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Most tasks of a job in one transaction.
-const MOST_PIECES: usize = 1024;
+const MOST_TASKS: usize = 1024;
 /// Most bytes that a run of tasks takes in a fact, with room for the rest of the fact among many.
 const RUN_BYTES: usize = 20;
 /// An old page of which less than this share still counts is written anew.
@@ -50,10 +50,10 @@
     fn new(job: &Id) -> Fact {
         Fact { j: job.to_string(), m: None, d: false, n: Vec::new() }
     }
-    fn push(&mut self, piece: u32) {
+    fn push(&mut self, task: u32) {
         match self.n.last_mut() {
-            Some((from, len)) if *from + *len == piece => *len += 1,
-            _ => self.n.push((piece, 1)),
+            Some((from, len)) if *from + *len == task => *len += 1,
+            _ => self.n.push((task, 1)),
         }
     }
     /// A bound on the length of its text.
@@ -70,7 +70,7 @@
 /// What is known of a page that is stored.
 #[derive(Debug, Default)]
 pub(crate) struct Page {
-    stamp: u64,
+    version: u64,
     /// Facts that still count, by job.
     jobs: BTreeMap<Id, u32>,
     live: u32,
@@ -112,7 +112,7 @@
 #[derive(Debug)]
 pub(crate) struct Noted {
     pub job: Id,
-    pub pieces: Vec<(u32, u64)>,
+    pub tasks: Vec<(u32, u64)>,
     pub page: u32,
 }
 
@@ -125,34 +125,34 @@
 
 impl Told {
     /// Of the first of a job's tasks of which something is to be written.
-    fn new(job: &Job, pieces: usize) -> Told {
-        let taken: BTreeMap<u32, u64> = job.pending.iter().take(pieces).map(|(p, n)| (*p, *n)).collect();
+    fn new(job: &Job, tasks: usize) -> Told {
+        let taken: BTreeMap<u32, u64> = job.pending.iter().take(tasks).map(|(p, n)| (*p, *n)).collect();
         let mut done = Fact::new(&job.id);
         done.d = true;
         let mut free = Fact::new(&job.id);
         let mut placed: BTreeMap<(&Id, u64, u64), Fact> = BTreeMap::new();
         let mut plans = Vec::new();
-        for piece in taken.keys() {
-            if job.done.get(*piece) {
-                done.push(*piece);
+        for task in taken.keys() {
+            if job.done.get(*task) {
+                done.push(*task);
                 continue;
             }
-            match job.live.get(piece) {
+            match job.live.get(task) {
                 Some(list) => {
                     for l in list {
-                        let key = (&l.machine, l.shift, l.attempt);
-                        placed.entry(key).or_insert_with(|| Fact::new(&job.id)).push(*piece);
+                        let key = (&l.machine, l.session, l.attempt);
+                        placed.entry(key).or_insert_with(|| Fact::new(&job.id)).push(*task);
                         if l.planned {
                             plans.push((l.machine.clone(), l.slot));
                         }
                     }
                 }
-                None => free.push(*piece),
+                None => free.push(*task),
             }
         }
         let mut facts: Vec<Fact> = [done, free].into_iter().filter(|f| !f.n.is_empty()).collect();
-        facts.extend(placed.into_iter().map(|((machine, shift, attempt), mut fact)| {
-            fact.m = Some((machine.to_string(), shift, attempt));
+        facts.extend(placed.into_iter().map(|((machine, session, attempt), mut fact)| {
+            fact.m = Some((machine.to_string(), session, attempt));
             fact
         }));
         Told { facts, plans, taken }
@@ -166,11 +166,11 @@
 
 impl Leader {
     /// Something about a task is to be written: at once for a plan, else soon.
-    pub(crate) fn touch(&mut self, now: u64, id: &Id, piece: u32, urgent: bool) {
+    pub(crate) fn touch(&mut self, now: u64, id: &Id, task: u32, urgent: bool) {
         self.touches += 1;
         let touches = self.touches;
         if let Some(job) = self.jobs.get_mut(id) {
-            job.pending.insert(piece, touches);
+            job.pending.insert(task, touches);
             job.urgent |= urgent;
             self.queue_write(now, id);
         }
@@ -196,13 +196,13 @@
     pub(crate) fn gather_facts(&mut self, ctx: &Ctx, f: &mut Flight, id: &Id) -> bool {
         let most = ctx.limits.page_bytes();
         // All that is pending, or as much as finds room.
-        let mut pieces = MOST_PIECES.min((most / RUN_BYTES).max(1));
+        let mut tasks = MOST_TASKS.min((most / RUN_BYTES).max(1));
         loop {
             let Some(job) = self.jobs.get(id) else { return true };
             if job.pending.is_empty() {
                 return true;
             }
-            let Told { facts, plans, taken } = Told::new(job, pieces);
+            let Told { facts, plans, taken } = Told::new(job, tasks);
             let bytes: usize = facts.iter().map(Fact::bytes).sum();
             let more = self.pages_needed(f, most, &facts);
             if f.takes(more, 1 + more, bytes + f.drafted()) {
@@ -217,7 +217,7 @@
             if taken.len() <= 1 {
                 return false;
             }
-            pieces = taken.len() / 2;
+            tasks = taken.len() / 2;
         }
     }
 
@@ -265,8 +265,8 @@
             }
             let Some(last) = f.drafts.last_mut() else { return };
             let all = fact.n.iter().flat_map(|(from, len)| *from..from + len);
-            let pieces = all.filter_map(|p| taken.get(&p).map(|n| (p, *n))).collect();
-            f.noted.push(Noted { job: id.clone(), pieces, page: last.number });
+            let tasks = all.filter_map(|p| taken.get(&p).map(|n| (p, *n))).collect();
+            f.noted.push(Noted { job: id.clone(), tasks, page: last.number });
             last.bytes += size;
             last.facts.push(fact);
         }
@@ -275,9 +275,9 @@
     /// Writes the drafted pages into the transaction.
     pub(crate) fn gather_pages(&mut self, f: &mut Flight) {
         for d in std::mem::take(&mut f.drafts) {
-            let stamp = self.pages.all.get(&d.number).map_or(0, |p| p.stamp);
+            let version = self.pages.all.get(&d.number).map_or(0, |p| p.version);
             let v = json!(PageRecord { e: d.facts.clone() });
-            f.set(key(d.number), stamp, v, d.bytes);
+            f.set(key(d.number), version, v, d.bytes);
             f.pages.push(d);
         }
     }
@@ -286,8 +286,8 @@
     pub(crate) fn gather_dead_pages(&mut self, f: &mut Flight) {
         let newest = self.pages.newest;
         for (n, p) in &self.pages.all {
-            if *n < newest && p.live == 0 && p.stamp > 0 && f.takes(1, 1, 100) {
-                f.drop_key(key(*n), p.stamp);
+            if *n < newest && p.live == 0 && p.version > 0 && f.takes(1, 1, 100) {
+                f.drop_key(key(*n), p.version);
                 f.dead_pages.push(*n);
             }
         }
@@ -308,12 +308,12 @@
         self.pages.draining = Some(n);
         let jobs: Vec<Id> = self.pages.all.get(&n).map(|p| p.jobs.keys().cloned().collect()).unwrap_or_default();
         for id in jobs {
-            let pieces: Vec<u32> = match self.jobs.get(&id) {
-                Some(j) => (0..).zip(&j.facts).filter(|(_, at)| **at == n).map(|(piece, _)| piece).collect(),
+            let tasks: Vec<u32> = match self.jobs.get(&id) {
+                Some(j) => (0..).zip(&j.facts).filter(|(_, at)| **at == n).map(|(task, _)| task).collect(),
                 None => continue,
             };
-            for piece in pieces {
-                self.touch(now, &id, piece, false);
+            for task in tasks {
+                self.touch(now, &id, task, false);
             }
         }
     }
@@ -323,7 +323,7 @@
         for d in pages {
             let total = d.facts.iter().flat_map(|f| &f.n).map(|(_, len)| *len).sum();
             let page = self.pages.all.entry(d.number).or_default();
-            (page.stamp, page.total) = (ledger, total);
+            (page.version, page.total) = (ledger, total);
             if d.number >= self.pages.newest {
                 (self.pages.newest, self.pages.facts, self.pages.bytes) = (d.number, d.facts, d.bytes);
             }
@@ -331,13 +331,13 @@
         for n in noted {
             let Some(job) = self.jobs.get_mut(&n.job) else { continue };
             if job.facts.is_empty() {
-                job.facts = vec![0; job.spec.pieces as usize];
+                job.facts = vec![0; job.spec.tasks as usize];
             }
-            for (piece, touched) in n.pieces {
-                if job.pending.get(&piece) == Some(&touched) {
-                    job.pending.remove(&piece);
+            for (task, touched) in n.tasks {
+                if job.pending.get(&task) == Some(&touched) {
+                    job.pending.remove(&task);
                 }
-                let Some(at) = job.facts.get_mut(piece as usize) else { continue };
+                let Some(at) = job.facts.get_mut(task as usize) else { continue };
                 let old = std::mem::replace(at, n.page);
                 self.pages.count(old, &n.job, -1);
                 self.pages.count(n.page, &n.job, 1);
@@ -367,19 +367,19 @@
             let Ok(number) = pair.path[keys::PAGES.len()..].parse::<u32>() else { continue };
             let rec: PageRecord = serde_json::from_value(pair.v).unwrap_or_default();
             let total = rec.e.iter().flat_map(|f| &f.n).map(|(_, len)| *len).sum();
-            self.pages.all.insert(number, Page { stamp: pair.stamp, total, ..Page::default() });
+            self.pages.all.insert(number, Page { version: pair.version, total, ..Page::default() });
             // What it holds is not written again: a new page follows.
             self.pages.newest = self.pages.newest.max(number + 1);
             for fact in rec.e {
                 let Some(job) = self.jobs.get_mut(fact.j.as_str()) else { continue };
-                let place = fact.m.map(|(machine, shift, attempt)| (Id::from(machine.as_str()), shift, attempt));
+                let place = fact.m.map(|(machine, session, attempt)| (Id::from(machine.as_str()), session, attempt));
                 let facts = last.entry(job.id.clone()).or_default();
                 for (from, len) in fact.n {
-                    for piece in from..from.saturating_add(len).min(job.spec.pieces) {
+                    for task in from..from.saturating_add(len).min(job.spec.tasks) {
                         if fact.d {
-                            job.done.insert(piece);
+                            job.done.insert(task);
                         }
-                        facts.insert(piece, (number, place.clone()));
+                        facts.insert(task, (number, place.clone()));
                     }
                 }
             }
@@ -388,15 +388,15 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.done_count = job.done.count();
                 job.begun = true;
-                job.facts = vec![0; job.spec.pieces as usize];
-                for (piece, (number, _)) in &facts {
-                    job.facts[*piece as usize] = *number;
+                job.facts = vec![0; job.spec.tasks as usize];
+                for (task, (number, _)) in &facts {
+                    job.facts[*task as usize] = *number;
                 }
             }
-            for (piece, (number, place)) in facts {
+            for (task, (number, place)) in facts {
                 self.pages.count(number, &id, 1);
-                if let Some((machine, shift, attempt)) = place {
-                    self.placed_before(ctx, &id, &machine, shift, attempt, piece);
+                if let Some((machine, session, attempt)) = place {
+                    self.placed_before(ctx, &id, &machine, session, attempt, task);
                 }
             }
         }
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -46,7 +46,7 @@
     /// Whether it is cancelled, and how many tasks it has.
     pub fn cancelled(&self) -> (bool, u32) {
         match self {
-            Stored::Whole(r) => (r.x, r.s.pieces),
+            Stored::Whole(r) => (r.x, r.s.tasks),
             Stored::Large(r) => (r.x, r.n),
         }
     }
@@ -126,17 +126,16 @@
             if bytes > MAX_BODY && self.sending > 0 {
                 break;
             }
-            txn.conditions.push(Condition { path: self.key(n), stamp: 0 });
+            txn.conditions.push(Condition { path: self.key(n), version: 0 });
             txn.writes.push(Write::set(self.key(n), json!(part)));
             self.sending += 1;
         }
         if self.sending == 0 {
             let key = format!("{}{}", keys::JOBS, self.p.spec.id);
-            let rec =
-                LargeRecord { p: self.prefix.clone(), n: self.p.spec.pieces, at: self.p.wall, x: false, k: false };
-            txn.conditions.push(Condition { path: key.clone(), stamp: 0 });
-            txn.conditions.push(Condition { path: format!("{}{}", keys::FINALS, self.p.spec.id), stamp: 0 });
-            txn.conditions.push(Condition { path: self.key(0), stamp: self.first });
+            let rec = LargeRecord { p: self.prefix.clone(), n: self.p.spec.tasks, at: self.p.wall, x: false, k: false };
+            txn.conditions.push(Condition { path: key.clone(), version: 0 });
+            txn.conditions.push(Condition { path: format!("{}{}", keys::FINALS, self.p.spec.id), version: 0 });
+            txn.conditions.push(Condition { path: self.key(0), version: self.first });
             txn.writes.push(Write::set(key, json!(rec)));
         }
         txn
@@ -187,10 +186,10 @@
 
 impl Leader {
     /// Reads the parts of a job that has come.
-    pub(crate) fn read_parts(&mut self, ctx: &mut Ctx, rec: LargeRecord, stamp: u64, got: Vec<Pair>) {
+    pub(crate) fn read_parts(&mut self, ctx: &mut Ctx, rec: LargeRecord, version: u64, got: Vec<Pair>) {
         let after = got.last().map(|p| p.path.clone()).unwrap_or_default();
         let prefix = rec.p.clone();
-        let wait = self.wait(LeadWait::Parts(Box::new((rec, stamp, got))));
+        let wait = self.wait(LeadWait::Parts(Box::new((rec, version, got))));
         ctx.state(StateRequest::Scan { prefix, after }, wait);
     }
 
@@ -199,7 +198,7 @@
         &mut self,
         ctx: &mut Ctx,
         rec: LargeRecord,
-        stamp: u64,
+        version: u64,
         mut got: Vec<Pair>,
         result: Result<StateReply, IoError>,
     ) {
@@ -207,24 +206,24 @@
             Ok(StateReply::Page(page)) => {
                 got.extend(page.pairs);
                 if page.truncated {
-                    self.read_parts(ctx, rec, stamp, got);
+                    self.read_parts(ctx, rec, version, got);
                 } else {
-                    self.large_set(ctx, &rec, stamp, got);
+                    self.large_set(ctx, &rec, version, got);
                 }
             }
-            _ => self.parts_later.push((ctx.now.mono + ctx.set.report_ms() / 12, rec, stamp)),
+            _ => self.parts_later.push((ctx.now.mono + ctx.set.report_ms() / 12, rec, version)),
         }
     }
 
     /// A job whose submission is in parts is known.
-    pub(crate) fn large_set(&mut self, ctx: &mut Ctx, rec: &LargeRecord, stamp: u64, got: Vec<Pair>) {
+    pub(crate) fn large_set(&mut self, ctx: &mut Ctx, rec: &LargeRecord, version: u64, got: Vec<Pair>) {
         let Some(whole) = join(rec, &got) else {
             ctx.log(Severity::Error, format!("parts {} not understood", rec.p));
             return;
         };
         let id: Id = whole.s.id.as_str().into();
-        self.parts.insert(id, got.into_iter().map(|p| (p.path, p.stamp)).collect());
-        self.record_set(ctx, whole, stamp);
+        self.parts.insert(id, got.into_iter().map(|p| (p.path, p.version)).collect());
+        self.record_set(ctx, whole, version);
     }
 
     /// Sorts what was read of parts at a takeover: jobs', and what no record refers to.
@@ -234,26 +233,26 @@
             let prefix = p.path.rfind('/').map(|at| p.path[..=at].to_string()).unwrap_or_default();
             by_prefix.entry(prefix).or_default().push(p);
         }
-        for (rec, stamp) in records {
+        for (rec, version) in records {
             match by_prefix.remove(&rec.p) {
-                Some(got) => self.large_set(ctx, &rec, stamp, got),
-                None => self.read_parts(ctx, rec, stamp, Vec::new()),
+                Some(got) => self.large_set(ctx, &rec, version, got),
+                None => self.read_parts(ctx, rec, version, Vec::new()),
             }
         }
-        let keys = |got: Vec<Pair>| got.into_iter().map(|p| (p.path, p.stamp)).collect();
+        let keys = |got: Vec<Pair>| got.into_iter().map(|p| (p.path, p.version)).collect();
         self.dead_parts.extend(by_prefix.into_values().map(keys));
     }
 
     /// Removes the first part of what no record refers to; the others follow alone.
     pub(crate) fn gather_parts(&mut self, f: &mut Flight) {
         while let Some(parts) = self.dead_parts.last()
-            && let Some((key, stamp)) = parts.first()
+            && let Some((key, version)) = parts.first()
         {
             let job = key[keys::PARTS.len()..].split('/').next().unwrap_or_default();
             if !f.takes(1, 2, 400) {
                 return;
             }
-            f.drop_key(key.clone(), *stamp);
+            f.drop_key(key.clone(), *version);
             if !self.jobs.contains_key(job) {
                 f.expect_absent(format!("{}{job}", keys::JOBS));
             }
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -156,7 +156,7 @@
         let mut left: i64 = safe.map(|m| m.room.cores).sum();
         let mut may_move = Vec::new();
         for j in self.jobs.values().filter(|j| !j.aborted && !j.awaits()) {
-            let cores = j.need.cores * i64::from(j.spec.pieces - j.done_count.min(j.spec.pieces));
+            let cores = j.need.cores * i64::from(j.spec.tasks - j.done_count.min(j.spec.tasks));
             if j.spec.spot && !j.sent_out {
                 may_move.push((self.estimate(j), cores));
             } else if !j.spec.spot {
@@ -197,7 +197,7 @@
         for j in by_age {
             let Some(team) = ctx.set.teams.get(&j.spec.team) else { continue };
             let sum = sums.entry(&j.spec.team).or_default();
-            sum.add(&j.need, i64::from(j.spec.pieces));
+            sum.add(&j.need, i64::from(j.spec.tasks));
             if team.guarantees(sum) {
                 fits.insert(j.id.clone());
             }
@@ -319,7 +319,7 @@
             let mut seats = seats.into_iter();
             let mut from = 0;
             for _ in 0..most {
-                let Some(piece) = self.jobs.get(&id).and_then(|j| j.next_free(from)) else { break };
+                let Some(task) = self.jobs.get(&id).and_then(|j| j.next_free(from)) else { break };
                 // Room made elsewhere may have taken what a zone could still have.
                 let fits = |l: &Id| {
                     let zone = self.machines.get(l).map(|m| m.zone.as_str());
@@ -336,23 +336,23 @@
                     machine = made.or(machine);
                 }
                 let Some(machine) = machine else { break };
-                from = piece + 1;
-                self.plan(now, &id, piece, &machine, attempt);
+                from = task + 1;
+                self.plan(now, &id, task, &machine, attempt);
             }
         }
     }
 
     /// Puts a plan for a task on a machine; nothing leaves before it is committed.
-    fn plan(&mut self, now: u64, id: &Id, piece: u32, machine: &Id, attempt: u64) -> u64 {
+    fn plan(&mut self, now: u64, id: &Id, task: u32, machine: &Id, attempt: u64) -> u64 {
         let slot = self.next_slot();
-        let Some(shift) = self.machines.get(machine).map(|m| m.shift) else { return slot };
+        let Some(session) = self.machines.get(machine).map(|m| m.session) else { return slot };
         if let Some(job) = self.jobs.get_mut(id) {
-            job.cursor = job.cursor.max(piece);
+            job.cursor = job.cursor.max(task);
             let p = Placement {
                 job: id.clone(),
-                piece,
+                task,
                 attempt,
-                shift,
+                session,
                 slot,
                 need: job.need,
                 image: job.image,
@@ -363,7 +363,7 @@
                 halt: None,
             };
             self.put(machine, p);
-            self.touch(now, id, piece, true);
+            self.touch(now, id, task, true);
         }
         slot
     }
@@ -394,9 +394,9 @@
             let attempt = self.next_attempt();
             let mut from = 0;
             for machine in seats {
-                let Some(piece) = self.jobs.get(id).and_then(|j| j.next_free(from)) else { return };
-                from = piece + 1;
-                self.plan(now, id, piece, &machine, attempt);
+                let Some(task) = self.jobs.get(id).and_then(|j| j.next_free(from)) else { return };
+                from = task + 1;
+                self.plan(now, id, task, &machine, attempt);
             }
             return;
         }
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -50,7 +50,7 @@
                     c.frames.iter().map(|f| (f.name.clone(), f.room(), f.zones.clone())).collect::<Vec<_>>()
                 };
                 self.catalog_dirty |=
-                    self.catalog_stamp.is_none() || ctx.catalog.as_ref().is_none_or(|old| types(old) != types(&c));
+                    self.catalog_version.is_none() || ctx.catalog.as_ref().is_none_or(|old| types(old) != types(&c));
                 for m in self.machines.values_mut() {
                     if let Some(f) = c.frame(&m.frame) {
                         m.room = f.room();
@@ -182,7 +182,7 @@
         let due: Vec<Hire> = self
             .hires
             .values()
-            .filter(|h| h.stamp > 0 && h.answer.is_none() && !h.asking && now >= h.retry_at)
+            .filter(|h| h.version > 0 && h.answer.is_none() && !h.asking && now >= h.retry_at)
             .map(|h| h.hire.clone())
             .collect();
         for hire in due {
@@ -242,7 +242,7 @@
         }
         // Room that is not there at all, or too little for tasks that run together, is not worth
         // waiting for.
-        let together = if job.spec.shape == Shape::Array { 1 } else { i64::from(job.spec.pieces) };
+        let together = if job.spec.shape == Shape::Array { 1 } else { i64::from(job.spec.tasks) };
         let count = || -> i64 {
             self.machines
                 .values()
@@ -377,7 +377,7 @@
         for (mut hire, _) in wanted {
             self.hire_count += 1;
             hire.hire = format!("{}-{}-{}", ctx.set.label, self.epoch, self.hire_count);
-            let state = HireState { hire, stamp: 0, writing: false, asking: false, retry_at: 0, answer: None };
+            let state = HireState { hire, version: 0, writing: false, asking: false, retry_at: 0, answer: None };
             self.hires.insert(state.hire.hire.clone(), state);
         }
     }
@@ -426,7 +426,7 @@
             let here = now.saturating_sub(self.took_at);
             match m.heard {
                 None if m.owned => {}
-                None if m.shift > 0 => m.leaving |= here > silence * 2,
+                None if m.session > 0 => m.leaving |= here > silence * 2,
                 None => m.leaving |= age > boot_s * NEVER_BOOTS + set.report_s && here > silence * 2,
                 Some(h) if !m.owned => {
                     let quiet = now.saturating_sub(h);
--- a/crates/loopback/src/machines.rs
+++ b/crates/loopback/src/machines.rs
@@ -90,15 +90,15 @@
         let interval = fleet.report.mul_f64(rand::rng().random_range(0.75..1.25)).as_millis() as u64;
         let due = {
             let mut worker = worker.borrow_mut();
-            let session = worker.shift;
+            let session = worker.session;
             worker.turn(now, &fleet.jobs.borrow(), &fleet.completed.borrow(), &BTreeSet::new());
-            fleet.counts.borrow_mut().leases_lost += worker.shift - session;
+            fleet.counts.borrow_mut().leases_lost += worker.session - session;
             worker.events.clear();
             worker.begin_report(now, interval)
         };
         let Some(mut report) = due else { continue };
         report.endpoint = endpoint.clone();
-        let sent = (now, report.shift, report.tick);
+        let sent = (now, report.session, report.tick);
         let body = serde_json::to_vec(&report).map(Bytes::from).unwrap_or_default();
         let address = &fleet.controllers[node].1;
         let answer = client.send(address, Method::POST, paths::CHECKIN, body, PATIENCE).await;
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -141,13 +141,13 @@
         assert!(long.len() < 64 * 1024);
         assert_eq!(status(address, &post("/submissions", &long)).await, Some(200));
         // A report with hundreds of tasks, some of states that this version does not know.
-        let pieces: Vec<String> = (0..700)
+        let tasks: Vec<String> = (0..700)
             .map(|n| format!(r#"{{"piece":"wk-000412/{n}","try":{n},"status":"{}"}}"#, ["running", "resting"][n % 2]))
             .collect();
         let report = format!(
             r#"{{"loom":"vm-1","endpoint":"10.0.0.1:9","frame":"f","hall":"a","borrowed":true,"shift":1,"tick":9,
             "baton":18446744073709551615,"warnS":null,"pieces":[{}]}}"#,
-            pieces.join(",")
+            tasks.join(",")
         );
         assert!(report.len() < 64 * 1024);
         assert_eq!(status(address, &post("/checkin", &report)).await, Some(200));
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -166,9 +166,9 @@
                 b.put_u8(3);
                 b.put_u64(*epoch);
                 b.put_u32(jobs.len() as u32);
-                for (job, stamp, done, running) in jobs {
+                for (job, version, done, running) in jobs {
                     put_text(&mut b, job);
-                    b.put_u64(*stamp);
+                    b.put_u64(*version);
                     b.put_u32(*done);
                     b.put_u32(*running);
                 }
--- a/crates/testkit/src/check.rs
+++ b/crates/testkit/src/check.rs
@@ -4,7 +4,7 @@
 use crate::worker::Event;
 use shaleshunt_wire::to_milli;
 use shaleshunt_wire::user::{JobStatus, Shape, Submission};
-use shaleshunt_wire::worker::split_piece;
+use shaleshunt_wire::worker::split_task_name;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A job about which no question is answered for so long counts as forgotten.
@@ -73,45 +73,45 @@
     /// A machine did something.
     pub fn machine(&mut self, now: u64, machine: &str, place: &Place, event: &Event) {
         match event {
-            Event::On(piece, attempt) => self.started(now, machine, place, piece, *attempt),
-            Event::Off(piece, attempt) => {
-                let Some(list) = self.on.get_mut(piece) else { return };
+            Event::On(task, attempt) => self.started(now, machine, place, task, *attempt),
+            Event::Off(task, attempt) => {
+                let Some(list) = self.on.get_mut(task) else { return };
                 let before = list.len();
                 list.retain(|(l, a, _)| l != machine || a != attempt);
                 let gone = (before - list.len()) as i64;
                 if list.is_empty() {
-                    self.on.remove(piece);
+                    self.on.remove(task);
                 }
-                if let Some(s) = split_piece(piece).and_then(|(job, _)| self.jobs.get(job)) {
+                if let Some(s) = split_task_name(task).and_then(|(job, _)| self.jobs.get(job)) {
                     *self.used.entry(s.team.clone()).or_default() -= to_milli(s.cores) * gone;
                 }
             }
-            Event::Completed(piece) => {
-                self.completed.insert(piece.clone());
+            Event::Completed(task) => {
+                self.completed.insert(task.clone());
             }
         }
     }
 
-    fn started(&mut self, now: u64, machine: &str, place: &Place, piece: &str, attempt: u64) {
+    fn started(&mut self, now: u64, machine: &str, place: &Place, task: &str, attempt: u64) {
         self.starts += 1;
-        let Some((job, _)) = split_piece(piece) else { return };
+        let Some((job, _)) = split_task_name(task) else { return };
         self.begun.entry(job.into()).or_insert(now);
         let Some(spec) = self.jobs.get(job).cloned() else {
-            self.break_rule(now, "invented", &format!("{piece} runs, but nobody submitted it"));
+            self.break_rule(now, "invented", &format!("{task} runs, but nobody submitted it"));
             return;
         };
-        if let Some((other, ..)) = self.on.get(piece).and_then(|l| l.first()).cloned() {
-            self.break_rule(now, "ran_twice", &format!("{piece} starts on {machine} while on {other}"));
+        if let Some((other, ..)) = self.on.get(task).and_then(|l| l.first()).cloned() {
+            self.break_rule(now, "ran_twice", &format!("{task} starts on {machine} while on {other}"));
         }
         if let Some(t) = self.cancelled.get(job) {
             self.late_starts = (self.late_starts.0 + 1, self.late_starts.1.max(now - t));
         }
         if self.cancelled.get(job).is_some_and(|t| now > t + self.cancel_ms) {
-            self.break_rule(now, "ran_cancelled", &format!("{piece} starts on {machine}"));
+            self.break_rule(now, "ran_cancelled", &format!("{task} starts on {machine}"));
         }
         for need in &spec.awaits {
             if !self.jobs.get(need).is_some_and(|s| self.all_done(s)) {
-                self.break_rule(now, "too_early", &format!("{piece} starts before {need} is done"));
+                self.break_rule(now, "too_early", &format!("{task} starts before {need} is done"));
             }
         }
         let mates: Vec<Place> = self.tasks_on(job).flat_map(|l| l.iter().map(|(_, _, p)| p.clone())).collect();
@@ -120,11 +120,11 @@
             || spec.zone.as_ref().is_some_and(|h| *h != place.zone)
             || place.spot && !spec.spot
             || spec.one_zone && mates.iter().any(|m| m.zone != place.zone)
-            || spec.scatter && same_zone > spec.pieces.div_ceil(2);
+            || spec.scatter && same_zone > spec.tasks.div_ceil(2);
         if wrong {
-            self.break_rule(now, "wrong_place", &format!("{piece} starts on {machine}"));
+            self.break_rule(now, "wrong_place", &format!("{task} starts on {machine}"));
         }
-        self.on.entry(piece.into()).or_default().push((machine.into(), attempt, place.clone()));
+        self.on.entry(task.into()).or_default().push((machine.into(), attempt, place.clone()));
         *self.used.entry(spec.team.clone()).or_default() += to_milli(spec.cores);
         let limit = self.limits.get(&spec.team).copied().unwrap_or(0.0);
         let used = self.used(&spec.team);
@@ -194,7 +194,7 @@
 
     /// Whether all tasks of a job have completed.
     pub fn all_done(&self, spec: &Submission) -> bool {
-        (0..spec.pieces).all(|n| self.completed.contains(&format!("{}/{n}", spec.id)))
+        (0..spec.tasks).all(|n| self.completed.contains(&format!("{}/{n}", spec.id)))
     }
 
     /// All that a job awaits, directly or through others.
@@ -219,7 +219,7 @@
             .filter(|(_, l)| !l.is_empty())
             .map(|(p, _)| p.clone())
             .filter(|p| {
-                let job = split_piece(p).map_or("", |(j, _)| j);
+                let job = split_task_name(p).map_or("", |(j, _)| j);
                 self.cancelled.get(job).is_some_and(|t| now > t + self.cancel_ms && now < t + self.cancel_ms + 1000)
             })
             .collect();
@@ -255,8 +255,8 @@
     }
 
     /// Whether a task is on a machine.
-    pub fn is_on(&self, piece: &str) -> bool {
-        self.on.get(piece).is_some_and(|l| !l.is_empty())
+    pub fn is_on(&self, task: &str) -> bool {
+        self.on.get(task).is_some_and(|l| !l.is_empty())
     }
 
     /// CPUs of a team's tasks on machines, in thousandths.
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -195,9 +195,9 @@
             for fact in v["e"].as_array().into_iter().flatten().filter(|f| f["d"] == true) {
                 let number = |v: &serde_json::Value| v.as_u64().unwrap_or(0);
                 for run in fact["n"].as_array().into_iter().flatten() {
-                    let pieces = number(&run[0])..number(&run[0]) + number(&run[1]);
+                    let tasks = number(&run[0])..number(&run[0]) + number(&run[1]);
                     let name = fact["j"].as_str().unwrap_or_default();
-                    self.completed.extend(pieces.map(|n| format!("{name}/{n}")));
+                    self.completed.extend(tasks.map(|n| format!("{name}/{n}")));
                 }
             }
             self.stored.push((key.into(), v));
@@ -396,7 +396,7 @@
 
 /// Whether a job is done, or runs with all its replicas.
 fn served(w: &World, s: &Submission) -> bool {
-    w.check.is_done(&s.id) || s.shape == Shape::Daemon && w.check.running(&s.id) >= s.pieces as usize
+    w.check.is_done(&s.id) || s.shape == Shape::Daemon && w.check.running(&s.id) >= s.tasks as usize
 }
 
 /// The largest jobs of each class, a tenth of it.
@@ -406,7 +406,7 @@
         classes.entry(format!("largest of class {}", u.spec.class)).or_default().push(&u.spec);
     }
     for jobs in classes.values_mut() {
-        jobs.sort_by_key(|s| std::cmp::Reverse(s.pieces));
+        jobs.sort_by_key(|s| std::cmp::Reverse(s.tasks));
         jobs.truncate(jobs.len().div_ceil(10));
     }
     classes
@@ -477,11 +477,11 @@
         team: "t".into(),
         shape: Shape::Array,
         urgency: Urgency::Normal,
-        pieces: 1,
+        tasks: 1,
         cores: 2.0,
         cards: 0.0,
         ram_gb: 4.0,
-        bundle: "img".into(),
+        image: "img".into(),
         image_gb: 0.5,
         frames: None,
         zone: None,
@@ -502,7 +502,7 @@
             "array" => s.shape = Shape::Array,
             "service" => (s.shape, s.expect_s) = (Shape::Daemon, 0.0),
             "gang" => s.shape = Shape::Ensemble,
-            "pieces" => s.pieces = w.number()?,
+            "pieces" => s.tasks = w.number()?,
             "copies" => copies = w.number()?,
             "every" => every = w.ms()?,
             "cores" => s.cores = w.number()?,
@@ -511,7 +511,7 @@
             "due" => s.due_s = Some(w.number()?),
             "crew" => s.team = w.next()?.into(),
             "class" => s.class = w.next()?.into(),
-            "image" => s.bundle = w.next()?.into(),
+            "image" => s.image = w.next()?.into(),
             "hall" => s.zone = Some(w.next()?.into()),
             "frames" => s.frames = Some(w.next()?.split(',').map(str::to_string).collect()),
             "scatter" => s.scatter = true,
--- a/crates/testkit/src/state.rs
+++ b/crates/testkit/src/state.rs
@@ -70,8 +70,8 @@
         }
         Some(match request {
             StateRequest::Get { key } => Ok(match self.keys.get(&key) {
-                Some((v, stamp, pass)) => {
-                    StateReply::Found(Pair { path: key, v: v.clone(), stamp: *stamp, pass: *pass })
+                Some((v, version, pass)) => {
+                    StateReply::Found(Pair { path: key, v: v.clone(), version: *version, pass: *pass })
                 }
                 None => StateReply::Missing,
             }),
@@ -80,7 +80,12 @@
                 let size = if self.page_size > 0 { self.page_size } else { SMALL_PAGE };
                 let mut pairs: Vec<Pair> = all
                     .take(size)
-                    .map(|(k, (v, stamp, pass))| Pair { path: k.clone(), v: v.clone(), stamp: *stamp, pass: *pass })
+                    .map(|(k, (v, version, pass))| Pair {
+                        path: k.clone(),
+                        v: v.clone(),
+                        version: *version,
+                        pass: *pass,
+                    })
                     .collect();
                 let truncated = pairs.len() == size;
                 if truncated {
@@ -133,7 +138,7 @@
         let failed: Vec<String> = txn
             .conditions
             .iter()
-            .filter(|c| self.keys.get(&c.path).map_or(0, |k| k.1) != c.stamp)
+            .filter(|c| self.keys.get(&c.path).map_or(0, |k| k.1) != c.version)
             .map(|c| c.path.clone())
             .collect();
         if !failed.is_empty() {
@@ -162,13 +167,13 @@
     }
 
     fn set(&mut self, key: String, v: Value, pass: Option<u64>) {
-        self.log.push(Change { set: Some(key.clone()), drop: None, v: Some(v.clone()), stamp: self.ledger });
+        self.log.push(Change { set: Some(key.clone()), drop: None, v: Some(v.clone()), version: self.ledger });
         self.keys.insert(key, (v, self.ledger, pass));
     }
 
     fn remove(&mut self, key: String) {
         if self.keys.remove(&key).is_some() {
-            self.log.push(Change { set: None, drop: Some(key), v: None, stamp: self.ledger });
+            self.log.push(Change { set: None, drop: Some(key), v: None, version: self.ledger });
         }
     }
 
@@ -203,7 +208,7 @@
         let (log, ledger) = (&self.log, self.ledger);
         let mut out = Vec::new();
         self.watches.retain(|w| {
-            let from = log.partition_point(|c| c.stamp <= w.after);
+            let from = log.partition_point(|c| c.version <= w.after);
             let is_ours = |c: &&Change| c.set.as_ref().or(c.drop.as_ref()).is_some_and(|k| k.starts_with(&w.prefix));
             let news: Vec<Change> = log[from..].iter().filter(is_ours).cloned().collect();
             if news.is_empty() && now < w.until {
--- a/crates/testkit/src/worker.rs
+++ b/crates/testkit/src/worker.rs
@@ -11,11 +11,11 @@
     /// Attempt.
     pub attempt: u64,
     /// State.
-    pub status: PieceStatus,
+    pub status: TaskStatus,
     /// Why it ended.
     pub cause: Option<Cause>,
     need: Room,
-    bundle: String,
+    image: String,
     /// When it has its image.
     image_at: u64,
     /// When it ends by itself.
@@ -48,7 +48,7 @@
     room: Room,
     fetch: f64,
     /// Session.
-    pub shift: u64,
+    pub session: u64,
     tick: u64,
     /// Highest token seen.
     pub token: u64,
@@ -89,7 +89,7 @@
             spot,
             room,
             fetch,
-            shift: 1,
+            session: 1,
             tick: 0,
             token: 0,
             tasks: BTreeMap::new(),
@@ -112,7 +112,7 @@
     /// Room that no task takes.
     pub fn free(&self) -> Room {
         let mut free = self.room;
-        for t in self.tasks.values().flatten().filter(|t| t.status != PieceStatus::Exited) {
+        for t in self.tasks.values().flatten().filter(|t| t.status != TaskStatus::Exited) {
             free.add(&t.need, -1);
         }
         free
@@ -121,12 +121,12 @@
     /// The report as of now.
     pub fn report(&mut self) -> Report {
         self.tick += 1;
-        let pieces = self
+        let tasks = self
             .tasks
             .iter()
             .flat_map(|(name, list)| {
-                list.iter().map(move |t| PieceReport {
-                    piece: name.clone(),
+                list.iter().map(move |t| TaskReport {
+                    task: name.clone(),
                     attempt: t.attempt,
                     status: t.status,
                     cause: t.cause,
@@ -140,11 +140,11 @@
             frame: self.frame.clone(),
             zone: self.zone.clone(),
             spot: self.spot,
-            shift: self.shift,
+            session: self.session,
             tick: self.tick,
             token: self.token,
             warn_s: self.warn_s,
-            pieces,
+            tasks,
         }
     }
 
@@ -155,7 +155,7 @@
             return None;
         }
         let r = self.report();
-        self.waiting = Some((now, r.shift, r.tick));
+        self.waiting = Some((now, r.session, r.tick));
         (self.changed, self.last_report, self.report_at) = (false, now, now + interval);
         Some(r)
     }
@@ -166,7 +166,7 @@
             return;
         }
         self.waiting = None;
-        if sent.1 != self.shift || reply.token < self.token {
+        if sent.1 != self.session || reply.token < self.token {
             return;
         }
         self.changed |= reply.token > self.token;
@@ -179,7 +179,7 @@
 
     /// Direct commands: the report after them, and whether they were executed.
     pub fn orders(&mut self, now: u64, o: Orders, jobs: &BTreeMap<String, Submission>) -> (bool, Report) {
-        let fine = o.token >= self.token && o.shift == self.shift;
+        let fine = o.token >= self.token && o.session == self.session;
         if fine {
             self.changed |= o.token > self.token;
             self.token = o.token;
@@ -192,49 +192,49 @@
 
     fn execute(&mut self, now: u64, order: Order, jobs: &BTreeMap<String, Submission>) {
         match order {
-            Order::Run { piece, attempt } => {
-                let held = self.tasks.get(&piece).cloned().unwrap_or_default();
+            Order::Run { task, attempt } => {
+                let held = self.tasks.get(&task).cloned().unwrap_or_default();
                 if held.iter().any(|t| t.attempt == attempt) {
                     return;
                 }
                 self.changed = true;
-                let job = split_piece(&piece).and_then(|(j, n)| jobs.get(j).filter(|s| n < s.pieces));
+                let job = split_task_name(&task).and_then(|(j, n)| jobs.get(j).filter(|s| n < s.tasks));
                 let mut used = Room::default();
-                for t in self.tasks.values().flatten().filter(|t| t.status != PieceStatus::Exited) {
+                for t in self.tasks.values().flatten().filter(|t| t.status != TaskStatus::Exited) {
                     used.add(&t.need, 1);
                 }
                 let refusal = match job {
                     None => Some(Cause::NoSuch),
-                    Some(_) if held.iter().any(|t| t.status != PieceStatus::Exited) => Some(Cause::InUse),
+                    Some(_) if held.iter().any(|t| t.status != TaskStatus::Exited) => Some(Cause::InUse),
                     Some(s) => {
                         used.add(&s.need(), 1);
                         (!self.room.fits(&used)).then_some(Cause::NoRoom)
                     }
                 };
-                let (need, bundle, gb) =
-                    job.map_or((Room::default(), String::new(), 0.0), |s| (s.need(), s.bundle.clone(), s.image_gb));
-                let fetch = if self.images.contains(&bundle) { 0.0 } else { gb / self.fetch * 1000.0 };
-                let status = if refusal.is_some() { PieceStatus::Exited } else { PieceStatus::Fetching };
+                let (need, image, gb) =
+                    job.map_or((Room::default(), String::new(), 0.0), |s| (s.need(), s.image.clone(), s.image_gb));
+                let fetch = if self.images.contains(&image) { 0.0 } else { gb / self.fetch * 1000.0 };
+                let status = if refusal.is_some() { TaskStatus::Exited } else { TaskStatus::Fetching };
                 let image_at = now + fetch as u64;
-                let t = Task { attempt, status, cause: refusal, need, bundle, image_at, ends_at: None, fails: false };
-                self.tasks.entry(piece).or_default().push(t);
+                let t = Task { attempt, status, cause: refusal, need, image, image_at, ends_at: None, fails: false };
+                self.tasks.entry(task).or_default().push(t);
             }
-            Order::Halt { piece, attempt, .. } => {
-                let task = self.tasks.get_mut(&piece).and_then(|l| l.iter_mut().find(|t| t.attempt == attempt));
-                if let Some(t) = task.filter(|t| t.status != PieceStatus::Exited) {
-                    if t.status == PieceStatus::Running {
-                        self.events.push(Event::Off(piece, attempt));
+            Order::Halt { task: name, attempt, .. } => {
+                let task = self.tasks.get_mut(&name).and_then(|l| l.iter_mut().find(|t| t.attempt == attempt));
+                if let Some(t) = task.filter(|t| t.status != TaskStatus::Exited) {
+                    if t.status == TaskStatus::Running {
+                        self.events.push(Event::Off(name, attempt));
                     }
-                    t.status = PieceStatus::Exited;
+                    t.status = TaskStatus::Exited;
                     t.cause = Some(Cause::Stopped);
                     self.changed = true;
                 }
             }
-            Order::Forget { piece, attempt } => {
-                if let Some(list) = self.tasks.get_mut(&piece) {
-                    list.retain(|t| t.attempt != attempt || t.status != PieceStatus::Exited);
+            Order::Forget { task, attempt } => {
+                if let Some(list) = self.tasks.get_mut(&task) {
+                    list.retain(|t| t.attempt != attempt || t.status != TaskStatus::Exited);
                     if list.is_empty() {
-                        self.tasks.remove(&piece);
+                        self.tasks.remove(&task);
                     }
                 }
             }
@@ -250,38 +250,38 @@
         broken: &BTreeSet<String>,
     ) {
         if now > self.answered + self.lease_ms {
-            for (piece, list) in std::mem::take(&mut self.tasks) {
-                for t in list.iter().filter(|t| t.status == PieceStatus::Running) {
-                    self.events.push(Event::Off(piece.clone(), t.attempt));
+            for (task, list) in std::mem::take(&mut self.tasks) {
+                for t in list.iter().filter(|t| t.status == TaskStatus::Running) {
+                    self.events.push(Event::Off(task.clone(), t.attempt));
                 }
             }
-            self.shift += 1;
+            self.session += 1;
             self.tick = 0;
             self.answered = now;
             self.changed = true;
         }
-        for (piece, list) in &mut self.tasks {
-            let Some((job, _)) = split_piece(piece) else { continue };
+        for (task, list) in &mut self.tasks {
+            let Some((job, _)) = split_task_name(task) else { continue };
             let Some(spec) = jobs.get(job) else { continue };
             for t in list {
-                if t.status == PieceStatus::Fetching && now >= t.image_at {
-                    self.images.insert(t.bundle.clone());
-                    t.status = PieceStatus::Running;
-                    self.events.push(Event::On(piece.clone(), t.attempt));
-                    let run = if completed.contains(piece) { 0.0 } else { spec.expect_s.max(0.1) };
+                if t.status == TaskStatus::Fetching && now >= t.image_at {
+                    self.images.insert(t.image.clone());
+                    t.status = TaskStatus::Running;
+                    self.events.push(Event::On(task.clone(), t.attempt));
+                    let run = if completed.contains(task) { 0.0 } else { spec.expect_s.max(0.1) };
                     let run = if now < self.slow.0 { run * f64::from(self.slow.1) } else { run };
                     t.ends_at = (spec.shape != Shape::Daemon).then_some(now + (run * 1000.0) as u64);
                     t.fails = now < self.sick_until;
                     self.changed = true;
                 }
                 let fails = t.fails || broken.contains(job);
-                if t.status == PieceStatus::Running && (fails || t.ends_at.is_some_and(|e| now >= e)) {
-                    t.status = PieceStatus::Exited;
+                if t.status == TaskStatus::Running && (fails || t.ends_at.is_some_and(|e| now >= e)) {
+                    t.status = TaskStatus::Exited;
                     t.cause = Some(if fails { Cause::Error } else { Cause::Done });
                     if !fails {
-                        self.events.push(Event::Completed(piece.clone()));
+                        self.events.push(Event::Completed(task.clone()));
                     }
-                    self.events.push(Event::Off(piece.clone(), t.attempt));
+                    self.events.push(Event::Off(task.clone(), t.attempt));
                     self.changed = true;
                 }
             }
@@ -290,9 +290,9 @@
 
     /// The machine is gone with all that is on it.
     pub fn die(&mut self) -> Vec<Event> {
-        for (piece, list) in std::mem::take(&mut self.tasks) {
-            for t in list.iter().filter(|t| t.status == PieceStatus::Running) {
-                self.events.push(Event::Off(piece.clone(), t.attempt));
+        for (task, list) in std::mem::take(&mut self.tasks) {
+            for t in list.iter().filter(|t| t.status == TaskStatus::Running) {
+                self.events.push(Event::Off(task.clone(), t.attempt));
             }
         }
         std::mem::take(&mut self.events)
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -11,7 +11,7 @@
 use shaleshunt_core::{IoError, Node, Now, Settings, StateRequest, Tuning};
 use shaleshunt_peer::Frame;
 use shaleshunt_wire::user::{JobStatus, Shape, Submission};
-use shaleshunt_wire::worker::{Orders, Report, ReportReply, split_piece};
+use shaleshunt_wire::worker::{Orders, Report, ReportReply, split_task_name};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
 
@@ -746,7 +746,7 @@
 
     fn could_run(&self, s: &Submission) -> bool {
         let done = |p: &str| self.check.completed.contains(p) || self.check.is_on(p);
-        if !(0..s.pieces).any(|n| !done(&format!("{}/{n}", s.id))) || self.broken.contains(&s.id) {
+        if !(0..s.tasks).any(|n| !done(&format!("{}/{n}", s.id))) || self.broken.contains(&s.id) {
             return false;
         }
         let before = s.awaits.iter().filter_map(|a| self.check.jobs.get(a));
@@ -838,9 +838,9 @@
                     self.now as f64 / 1000.0
                 ));
             }
-            if let Event::Completed(piece) = &e
+            if let Event::Completed(task) = &e
                 && self.now < self.cancel_at_end.0
-                && let Some((job, _)) = split_piece(piece)
+                && let Some((job, _)) = split_task_name(task)
                 && self.check.jobs.get(job).is_some_and(|s| self.check.all_done(s))
                 && self.rng.random_bool(self.cancel_at_end.1)
             {
@@ -1138,7 +1138,7 @@
         };
         let jobs: Vec<String> = self.users.iter().filter_map(runs).take(most).collect();
         let under =
-            |w: &&Worker| w.tasks.keys().any(|p| split_piece(p).is_some_and(|(j, _)| jobs.iter().any(|x| x == j)));
+            |w: &&Worker| w.tasks.keys().any(|p| split_task_name(p).is_some_and(|(j, _)| jobs.iter().any(|x| x == j)));
         let machines: Vec<String> = self.workers.values().filter(under).map(|w| w.id.clone()).collect();
         if hang > 0 {
             for m in machines.iter().take(HANG_WITH) {
@@ -1261,11 +1261,11 @@
                 self.end_machine(&m);
                 self.cloud.take(&m);
             }
-            Trouble::LostUnder(piece) => {
+            Trouble::LostUnder(task) => {
                 let holds = |w: &&Worker| {
                     w.tasks
-                        .get(&piece)
-                        .is_some_and(|l| l.iter().any(|t| t.status == shaleshunt_wire::worker::PieceStatus::Running))
+                        .get(&task)
+                        .is_some_and(|l| l.iter().any(|t| t.status == shaleshunt_wire::worker::TaskStatus::Running))
                 };
                 let name = self.workers.values().find(holds).map(|w| w.id.clone());
                 if let Some(name) = name {
--- a/crates/testkit/tests/cancelled_here.rs
+++ b/crates/testkit/tests/cancelled_here.rs
@@ -7,7 +7,7 @@
 use shaleshunt_testkit::cloud::Cloud;
 use shaleshunt_testkit::state::StateService;
 use shaleshunt_wire::user::{JobStatus, Submission};
-use shaleshunt_wire::worker::{Order, Orders, PieceReport, PieceStatus, Report};
+use shaleshunt_wire::worker::{Order, Orders, Report, TaskReport, TaskStatus};
 use std::collections::BTreeMap;
 
 struct Play {
@@ -20,7 +20,7 @@
     orders: Vec<Order>,
     tick: u64,
     token: u64,
-    pieces: Vec<PieceReport>,
+    tasks: Vec<TaskReport>,
 }
 
 impl Play {
@@ -61,7 +61,7 @@
             orders: Vec::new(),
             tick: 0,
             token: 0,
-            pieces: Vec::new(),
+            tasks: Vec::new(),
         }
     }
 
@@ -110,11 +110,11 @@
         self.token = self.token.max(orders.token);
         for order in &orders.orders {
             match order.clone() {
-                Order::Run { piece, attempt } => {
-                    let status = PieceStatus::Running;
-                    self.pieces.push(PieceReport { piece, attempt, status, cause: None, stored: None });
+                Order::Run { task, attempt } => {
+                    let status = TaskStatus::Running;
+                    self.tasks.push(TaskReport { task, attempt, status, cause: None, stored: None });
                 }
-                Order::Halt { piece, .. } => self.pieces.retain(|p| p.piece != piece),
+                Order::Halt { task, .. } => self.tasks.retain(|p| p.task != task),
                 Order::Forget { .. } => {}
             }
         }
@@ -130,11 +130,11 @@
             frame: "f".into(),
             zone: "a".into(),
             spot: false,
-            shift: 1,
+            session: 1,
             tick: self.tick,
             token: self.token,
             warn_s: None,
-            pieces: self.pieces.clone(),
+            tasks: self.tasks.clone(),
         }
     }
 
@@ -164,7 +164,7 @@
     p.pass(1000);
     p.tell(Command::Submit(3, Box::new(Submission::parse(JOB.as_bytes()).unwrap())));
     p.pass(1000);
-    assert_eq!((p.pieces.len(), p.halts()), (2, 0), "both tasks run: {:?}", p.orders);
+    assert_eq!((p.tasks.len(), p.halts()), (2, 0), "both tasks run: {:?}", p.orders);
     p.watch = false;
     p.pass(1000);
     p.tell(Command::Withdraw(5, "wk-1".into()));
--- a/crates/testkit/tests/work_counts.rs
+++ b/crates/testkit/tests/work_counts.rs
@@ -106,7 +106,7 @@
                 machine.turn(self.now, &self.jobs, &BTreeSet::new(), &BTreeSet::new());
                 if let Some(report) = machine.begin_report(self.now, REPORT_MS) {
                     self.requests += 1;
-                    sent.insert(self.requests, (number, (self.now, report.shift, report.tick)));
+                    sent.insert(self.requests, (number, (self.now, report.session, report.tick)));
                     batch.push(Command::Checkin(self.requests, Box::new(report)));
                 }
             }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -10,7 +10,7 @@
 /// Largest request body, in bytes, and longest line of a response.
 pub const MAX_BODY: usize = 64 * 1024;
 /// Most tasks that one job may have.
-pub const MAX_PIECES: u32 = 100_000;
+pub const MAX_TASKS: u32 = 100_000;
 /// Most machines that one hire may ask for.
 pub const MAX_HIRE: u32 = 50;
 /// Most machines that one return may name.
--- a/crates/wire/src/state.rs
+++ b/crates/wire/src/state.rs
@@ -11,7 +11,8 @@
     /// Value.
     pub v: Value,
     /// Revision of its last change.
-    pub stamp: u64,
+    #[serde(rename = "stamp")]
+    pub version: u64,
     /// Lease that it is attached to.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub pass: Option<u64>,
@@ -35,7 +36,8 @@
     /// Key.
     pub path: String,
     /// Version.
-    pub stamp: u64,
+    #[serde(rename = "stamp")]
+    pub version: u64,
 }
 
 /// A change in a transaction.
@@ -118,7 +120,8 @@
     #[serde(default)]
     pub v: Option<Value>,
     /// Revision of the change.
-    pub stamp: u64,
+    #[serde(rename = "stamp")]
+    pub version: u64,
 }
 
 /// Answer to a watch.
--- a/crates/wire/src/user.rs
+++ b/crates/wire/src/user.rs
@@ -1,6 +1,6 @@
 //! Users' interface: submissions and their states.
 
-use crate::{MAX_PIECES, Room};
+use crate::{MAX_TASKS, Room};
 use serde::{Deserialize, Serialize};
 
 /// What kind of job it is.
@@ -47,7 +47,8 @@
     /// Priority.
     pub urgency: Urgency,
     /// Number of tasks.
-    pub pieces: u32,
+    #[serde(rename = "pieces")]
+    pub tasks: u32,
     /// CPUs of a task.
     pub cores: f64,
     /// Cards of a task.
@@ -55,7 +56,8 @@
     /// Memory of a task in GB.
     pub ram_gb: f64,
     /// Image that a machine must have.
-    pub bundle: String,
+    #[serde(rename = "bundle")]
+    pub image: String,
     /// Its size in GB.
     pub image_gb: f64,
     /// Allowed machine types; none means any.
@@ -116,11 +118,11 @@
         check(valid_id(&s.id), "ref")?;
         check(name(&s.class), "jobline")?;
         check(name(&s.team), "crew")?;
-        check((1..=MAX_PIECES).contains(&s.pieces), "pieces")?;
+        check((1..=MAX_TASKS).contains(&s.tasks), "pieces")?;
         check(amount(s.cores), "cores")?;
         check(amount(s.cards), "cards")?;
         check(amount(s.ram_gb), "ramGb")?;
-        check(s.bundle.len() <= LONG_NAME, "bundle")?;
+        check(s.image.len() <= LONG_NAME, "bundle")?;
         check(amount(s.image_gb), "imageGb")?;
         let frames_fine = s.frames.as_ref().is_none_or(|f| f.len() <= LONG_NAME / 4 && f.iter().all(|n| name(n)));
         check(frames_fine, "frames")?;
--- a/crates/wire/src/worker.rs
+++ b/crates/wire/src/worker.rs
@@ -5,7 +5,7 @@
 /// State of a task on a machine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum PieceStatus {
+pub enum TaskStatus {
     /// Waiting for its image.
     Fetching,
     /// A gang's task that waits for its mates.
@@ -48,14 +48,15 @@
 
 /// One task in a report.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct PieceReport {
+pub struct TaskReport {
     /// Task name, `wk-000412/3`.
-    pub piece: String,
+    #[serde(rename = "piece")]
+    pub task: String,
     /// Attempt.
     #[serde(rename = "try")]
     pub attempt: u64,
     /// State.
-    pub status: PieceStatus,
+    pub status: TaskStatus,
     /// Why it ended.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cause: Option<Cause>,
@@ -81,7 +82,8 @@
     #[serde(rename = "borrowed")]
     pub spot: bool,
     /// Session.
-    pub shift: u64,
+    #[serde(rename = "shift")]
+    pub session: u64,
     /// Order among the reports of a session.
     pub tick: u64,
     /// Highest token seen.
@@ -91,8 +93,8 @@
     #[serde(default, rename = "warnS")]
     pub warn_s: Option<f64>,
     /// All tasks on the machine.
-    #[serde(default)]
-    pub pieces: Vec<PieceReport>,
+    #[serde(rename = "pieces", default)]
+    pub tasks: Vec<TaskReport>,
 }
 
 impl Report {
@@ -112,7 +114,8 @@
     /// Start a task.
     Run {
         /// Task.
-        piece: String,
+        #[serde(rename = "piece")]
+        task: String,
         /// Attempt.
         #[serde(rename = "try")]
         attempt: u64,
@@ -120,7 +123,8 @@
     /// Stop a task.
     Halt {
         /// Task.
-        piece: String,
+        #[serde(rename = "piece")]
+        task: String,
         /// Attempt.
         #[serde(rename = "try")]
         attempt: u64,
@@ -131,7 +135,8 @@
     /// Remove an exited task from the reports.
     Forget {
         /// Task.
-        piece: String,
+        #[serde(rename = "piece")]
+        task: String,
         /// Attempt.
         #[serde(rename = "try")]
         attempt: u64,
@@ -155,7 +160,8 @@
     #[serde(rename = "baton")]
     pub token: u64,
     /// Session that they are meant for.
-    pub shift: u64,
+    #[serde(rename = "shift")]
+    pub session: u64,
     /// Commands, executed in order.
     pub orders: Vec<Order>,
 }
@@ -169,7 +175,7 @@
 }
 
 /// Splits a task name into job and number.
-pub fn split_piece(piece: &str) -> Option<(&str, u32)> {
-    let (job, number) = piece.rsplit_once('/')?;
+pub fn split_task_name(task: &str) -> Option<(&str, u32)> {
+    let (job, number) = task.rsplit_once('/')?;
     Some((job, number.parse().ok()?))
 }
