--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,8 @@
 //!   scheduler.
 //! - `awaits` lets jobs wait for others; `parts` keeps submissions that take more than a value; `limits` follows what the state service grants.
 //! - `leader` keeps what only the leader knows; `commit` writes it to the state service, the facts
-//!   about tasks on `pages`; `floor` talks to workers; `place` chooses machines; `rent` talks to the cloud.
+//!   about tasks on `pages`; `floor` talks to workers; `queue` orders jobs, `place` chooses machines,
+//!   `preemption` makes room on them, `send_out` sends jobs to rented ones; `rent` talks to the cloud.
 
 pub mod io;
 pub mod model;
@@ -22,7 +23,10 @@
 mod pages;
 mod parts;
 mod place;
+mod preemption;
+mod queue;
 mod rent;
+mod send_out;
 
 pub use io::{Batch, Command, Effect, IoError, Now, Severity, StateReply, StateRequest};
 pub use node::Node;
--- /dev/null
+++ b/crates/core/src/send_out.rs
@@ -0,0 +1,74 @@
+//! Which jobs with deadlines go to rented machines (the paper's offloading).
+
+use crate::io::*;
+use crate::leader::Leader;
+use crate::model::*;
+use crate::node::Ctx;
+use shaleshunt_wire::Room;
+use std::collections::BTreeMap;
+
+impl Leader {
+    /// Marks deadline jobs whose tasks go to rented machines. Per stage: from the tail, what the
+    /// owned slots cannot work off by the deadline; then whatever has less slack than the boot
+    /// allowance, counting queued work ahead over the slots and the rest of its own path.
+    pub(crate) fn send_out(&mut self, ctx: &mut Ctx) {
+        let allowance = ctx.tune.boot_allowance_s;
+        let mut stages: BTreeMap<&str, Vec<(u64, &Id)>> = BTreeMap::new();
+        for j in self.jobs.values().filter(|j| !j.aborted && j.due().is_some() && j.waiting() > 0) {
+            let estimate = (self.estimate(j) * 1000.0) as u64;
+            stages.entry(&j.spec.class).or_default().push((estimate, &j.id));
+        }
+        let mut sent: Vec<Id> = Vec::new();
+        for (stage, mut queue) in stages {
+            queue.sort();
+            let Some(first) = queue.first().and_then(|(_, id)| self.jobs.get(*id)) else { continue };
+            let slots = self.slots(stage, &first.need).max(1) as f64;
+            let left = |j: &Job| (j.due().unwrap_or(0) as f64 - ctx.now.wall as f64) / 1000.0;
+            let mut total: f64 = queue
+                .iter()
+                .filter_map(|(e, id)| self.jobs.get(*id).map(|j| *e as f64 / 1000.0 * f64::from(j.waiting())))
+                .sum();
+            let horizon = queue.iter().filter_map(|(_, id)| self.jobs.get(*id)).map(left).fold(0.0, f64::max);
+            for (e, id) in queue.iter().rev() {
+                if total <= slots * horizon {
+                    break;
+                }
+                if let Some(j) = self.jobs.get(*id) {
+                    total -= *e as f64 / 1000.0 * f64::from(j.waiting());
+                    sent.push((*id).clone());
+                }
+            }
+            let mut ahead = 0.0;
+            for (e, id) in &queue {
+                let Some(j) = self.jobs.get(*id) else { continue };
+                let own = *e as f64 / 1000.0;
+                let slack = left(j) - ahead / slots - own - self.fetch_s(ctx, j);
+                if slack < allowance {
+                    sent.push((*id).clone());
+                }
+                ahead += own * f64::from(j.waiting());
+            }
+        }
+        // Later stages follow.
+        let later: Vec<Id> = sent.iter().flat_map(|id| self.later_stages(id)).collect();
+        for id in sent.into_iter().chain(later) {
+            if let Some(j) = self.jobs.get_mut(&id)
+                && !j.sent_out
+            {
+                j.sent_out = true;
+                ctx.log(Severity::Debug, format!("job {id} goes to rented machines"));
+            }
+        }
+    }
+
+    /// A stage's owned slots: its tasks that fit in owned room now free or held by it.
+    fn slots(&self, stage: &str, need: &Room) -> i64 {
+        let free: i64 = self
+            .machines
+            .values()
+            .filter(|m| m.owned && m.heard.is_some())
+            .map(|m| m.free().times(need, 100_000))
+            .sum();
+        free + self.held.get(stage).map_or(0, |h| h.owned)
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,6 +1,24 @@
 //! Wire formats of shaleshunt: the JSON bodies, paths and limits that its users, workers, the
 //! cloud and the state service see. This package is the only home of protocol names; clients may
 //! depend on it alone.
+//!
+//! The protocol has words of its own; only the `serde` attributes here use them:
+//!
+//! | protocol | code |
+//! | --- | --- |
+//! | `loom`, `looms` | machine, machines |
+//! | `hall`, `halls` | zone, zones |
+//! | `crew` | team |
+//! | `jobline` | class |
+//! | `piece`, `pieces` | task, tasks |
+//! | `bundle` | image |
+//! | `borrowed` | spot |
+//! | `baton` | token |
+//! | `shift` | session |
+//! | `stamp` | version |
+//!
+//! Not renamed yet: `frame` (machine type), `tick` (sequence number), `hire` (rental request), `ledger` (revision),
+//! `pass` and `hold` (lease), `foreman` (leader), `halt`, `warnS` and the amounts.
 
 pub mod cloud;
 pub mod state;
