--- a/crates/testkit/tests/cancelled_here.rs
+++ b/crates/testkit/tests/cancelled_here.rs
@@ -1,9 +1,10 @@
 //! A node that leads and confirms a cancellation itself stops the job's tasks at once, though its watch
 //! brings nothing: the state service may refuse that just then.
 
+mod common;
+
 use shaleshunt_core::io::{Answer, Command, Effect, OrdersReply};
-use shaleshunt_core::settings::{Limits, Team};
-use shaleshunt_core::{Node, Now, Settings, StateRequest, Tuning};
+use shaleshunt_core::{Node, Now, StateRequest, Tuning};
 use shaleshunt_testkit::cloud::Cloud;
 use shaleshunt_testkit::state::StateService;
 use shaleshunt_wire::user::{JobStatus, Submission};
@@ -25,32 +26,11 @@
 
 impl Play {
     fn new() -> Play {
-        let limits = Limits { value_kb: 16.0, txn_ops: 24, write_rps: 90.0 };
-        let settings = Settings {
-            label: "n0".into(),
-            location: "a".into(),
-            zones: vec!["a".into()],
-            teams: BTreeMap::from([("t".to_string(), Team::default())]),
-            report_s: 5.0,
-            lease_s: 27.0,
-            cancel_s: 52.0,
-            state_rps: 250.0,
-            state: limits.clone(),
-            cloud_rps: 6.0,
-            list_lag_s: 3.0,
-            mem_mb: 158.0,
-            ..Settings::default()
-        };
-        let mut cloud = Cloud::default();
-        cloud.catalog.frames = serde_json::from_str(
-            r#"[{"name":"f","cores":16.0,"cards":0.0,"ramGb":64.0,"localGb":50.0,"fetchGbPerS":0.5,"price":2.0,
-            "marketPrice":0.5,"bootS":20.0,"halls":["a"]}]"#,
-        )
-        .unwrap();
+        let settings = common::settings(158.0);
+        let mut cloud = common::cloud();
         cloud.give(0, "f", "a", false, Some(0));
         let node = Node::new(settings, Tuning::default(), Now { mono: 1, wall: 1_700_000_000_000 }, 7);
-        let mut state = StateService::default();
-        state.limits = limits;
+        let state = common::state();
         Play {
             node,
             state,
--- a/crates/testkit/tests/work_counts.rs
+++ b/crates/testkit/tests/work_counts.rs
@@ -1,10 +1,11 @@
 //! How much the leader does, counted: what it does for one command must not grow with the machines times the
 //! queue, and a leader that is short of processor time leaves more time between passes over the queue.
 
+mod common;
+
 use shaleshunt_core::io::{Answer, Command, Effect};
-use shaleshunt_core::settings::{Limits, Team};
 use shaleshunt_core::work::Work;
-use shaleshunt_core::{Node, Now, Settings, Tuning};
+use shaleshunt_core::{Node, Now, Tuning};
 use shaleshunt_testkit::cloud::Cloud;
 use shaleshunt_testkit::state::StateService;
 use shaleshunt_testkit::worker::Worker;
@@ -29,28 +30,8 @@
 
 impl Site {
     fn new() -> Site {
-        let limits = Limits { value_kb: 16.0, txn_ops: 24, write_rps: 90.0 };
-        let settings = Settings {
-            label: "n0".into(),
-            location: "a".into(),
-            zones: vec!["a".into()],
-            teams: BTreeMap::from([("t".to_string(), Team::default())]),
-            report_s: REPORT_MS as f64 / 1000.0,
-            lease_s: 27.0,
-            cancel_s: 52.0,
-            state_rps: 250.0,
-            state: limits.clone(),
-            cloud_rps: 6.0,
-            list_lag_s: 3.0,
-            mem_mb: 85.0,
-            ..Settings::default()
-        };
-        let mut cloud = Cloud::default();
-        cloud.catalog.frames = serde_json::from_str(
-            r#"[{"name":"f","cores":16.0,"cards":0.0,"ramGb":64.0,"localGb":50.0,"fetchGbPerS":0.5,"price":2.0,
-            "marketPrice":0.5,"bootS":20.0,"halls":["a"]}]"#,
-        )
-        .unwrap();
+        let settings = common::settings(85.0);
+        let mut cloud = common::cloud();
         let room = Room::new(16.0, 0.0, 64.0);
         let machines = (0..MACHINES)
             .map(|number| {
@@ -60,8 +41,7 @@
                 machine
             })
             .collect();
-        let mut state = StateService::default();
-        state.limits = limits;
+        let state = common::state();
         let node = Node::new(settings, Tuning::default(), Now { mono: 1, wall: 1_700_000_000_000 }, 7);
         Site { node, state, cloud, machines, jobs: BTreeMap::new(), now: 1, requests: 1 << 40 }
     }
