A late answer about an ended job is no new job: no needless step down

Cause: after a cancellation through the leader itself its read of the record and its watch race; the answer that comes after the end was written made a job anew, whose end met the final record. Ruled out: other writers. Change: reads about unknown jobs are dropped, news from before an end too, and parts are taken only for the record that asked for them. Reasons for stepping down are an enum; a foreign write is named with key and both versions.

--- a/crates/core/src/commit.rs
+++ b/crates/core/src/commit.rs
@@ -15,6 +15,7 @@
 use crate::node::{Ctx, Wait};
 use crate::pages::{Draft, Noted};
 use crate::parts::Parts;
+use crate::step_down::{ForeignWrite, StepDown};
 use serde_json::json;
 use shaleshunt_wire::MAX_BODY;
 use shaleshunt_wire::state::{Condition, Txn, Write};
@@ -154,6 +155,12 @@
     pub(crate) fn expect_job(&mut self, job: &Job) {
         self.txn.expect_job(job);
     }
+    /// The first of the keys that failed which is not a job's record: users change those too.
+    fn foreign_write(&self, failed: &[String]) -> Option<ForeignWrite> {
+        let key = failed.iter().find(|k| !k.starts_with(keys::JOBS))?;
+        let condition = self.txn.txn.conditions.iter().find(|c| c.path == *key);
+        Some(ForeignWrite { key: key.clone(), expected: condition.map_or(0, |c| c.version), found: None })
+    }
     pub(crate) fn expect_absent(&mut self, path: String) {
         self.txn.bytes += path.len() + 40;
         self.txn.txn.conditions.push(Condition { path, version: 0 });
@@ -522,7 +529,7 @@
             Ok(StateReply::Committed(ledger)) => self.succeeded(ctx, f, ledger),
             Ok(StateReply::Conflict(failed)) => {
                 if failed.iter().any(|k| k == keys::EPOCH) {
-                    self.down = Some("a newer epoch has begun");
+                    self.down = Some(StepDown::NewerEpoch);
                 } else if f.unanswered {
                     // An earlier copy of it may have been carried out after all.
                     f.asking = true;
@@ -532,8 +539,8 @@
                     }
                     f.conflict = failed;
                     self.flight = Some(f);
-                } else if !failed.iter().all(|k| k.starts_with(keys::JOBS)) {
-                    self.down = Some("somebody else writes the leader's keys");
+                } else if let Some(write) = f.foreign_write(&failed) {
+                    self.written_by_others(ctx, f, write);
                 } else {
                     self.failed(ctx, f, &failed);
                 }
@@ -547,7 +554,7 @@
             Err(IoError::Rejected(why)) if !f.rejected => {
                 ctx.log(Severity::Error, format!("transaction rejected: {why}"));
                 if !ctx.limits.too_large() {
-                    self.down = Some("a transaction was rejected");
+                    self.down = Some(StepDown::TransactionRejected);
                 } else if f.unanswered {
                     f.rejected = true;
                     self.flight = Some(f);
@@ -563,6 +570,16 @@
         }
     }
 
+    /// A key that only the leader writes has changed. It steps down as soon as the log can say to what;
+    /// until then nothing is sent, since the transaction stays under way.
+    fn written_by_others(&mut self, ctx: &mut Ctx, mut f: Flight, write: ForeignWrite) {
+        f.asking = true;
+        self.flight = Some(f);
+        let key = write.key.clone();
+        let wait = self.wait(LeadWait::ForeignWrite(write));
+        ctx.state(StateRequest::Get { key }, wait);
+    }
+
     /// A key that an unanswered transaction writes has been read.
     pub(crate) fn settle(&mut self, ctx: &mut Ctx, result: Result<StateReply, IoError>) {
         let Some(f) = &mut self.flight else { return };
@@ -590,12 +607,11 @@
                 let wait = Wait::Lead(self.epoch, LeadWait::Commit);
                 let txn = f.txn.txn.clone();
                 ctx.state(StateRequest::Txn(txn), wait);
-            } else if conflict.iter().all(|k| k.starts_with(keys::JOBS)) {
-                if let Some(f) = self.flight.take() {
-                    self.failed(ctx, f, &conflict);
+            } else if let Some(f) = self.flight.take() {
+                match f.foreign_write(&conflict) {
+                    None => self.failed(ctx, f, &conflict),
+                    Some(write) => self.written_by_others(ctx, f, write),
                 }
-            } else {
-                self.down = Some("somebody else writes the leader's keys");
             }
             return;
         }
@@ -614,7 +630,7 @@
                     self.succeeded(ctx, f, version);
                 }
             }
-            Ok(StateReply::Conflict(_)) => self.down = Some("a newer epoch has begun"),
+            Ok(StateReply::Conflict(_)) => self.down = Some(StepDown::NewerEpoch),
             _ => {
                 if let Some(f) = &mut self.flight {
                     f.asking = false;
@@ -644,6 +660,7 @@
                 self.forget_facts(&job);
                 self.unlink(&job);
                 self.dead_parts.extend(self.parts.remove(&id));
+                self.ended.insert(id.clone(), ledger);
                 self.ranks_old = true;
                 let end = FinalRecord { x: job.aborted, n: 0, t: ctx.now.wall };
                 self.end_known(ctx, &id, &end);
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -8,15 +8,13 @@
 use crate::leader::{LeadWait, Leader};
 use crate::model::*;
 use crate::node::Ctx;
+use crate::step_down::StepDown;
 use shaleshunt_wire::worker::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A task that has run for so many times what its job's tasks usually take overruns.
 const OVERRUN: f64 = 1.5;
 
-/// Why a leader steps down that no machine reports to; it leaves the next election to others.
-pub(crate) const UNHEARD: &str = "no machine is heard";
-
 /// Most commands in one message, so that no line grows too long.
 const MAX_ORDERS: usize = 300;
 
@@ -115,7 +113,7 @@
             self.replan = true;
         }
         if current && r.token >> crate::leader::TOKEN_BITS > epoch {
-            self.down = Some("a worker has seen a newer token");
+            self.down = Some(StepDown::NewerToken);
         }
         // A direct call's report may be older than the answer to the last check-in, which may still
         // start tasks. The next check-in settles that: a worker has one under way at a time.
@@ -526,7 +524,7 @@
             // Machines that hang on to a lost leader need a while to come.
             let heard = newest.max(self.took_at + report * 2);
             if !self.machines.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience {
-                self.down = Some(UNHEARD);
+                self.down = Some(StepDown::Unheard);
             }
             return;
         }
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -8,6 +8,7 @@
 use crate::node::{Ctx, Wait};
 use crate::pages::Pages;
 use crate::parts::{LargeRecord, Parts, Stored};
+use crate::step_down::{ForeignWrite, StepDown};
 use serde_json::Value;
 use shaleshunt_wire::Room;
 use shaleshunt_wire::state::{Change, Page, Pair};
@@ -35,6 +36,8 @@
     Commit,
     Settle,
     Settled(u64),
+    /// The version of a key that somebody else has written, for the log.
+    ForeignWrite(ForeignWrite),
     Refresh(Id),
     End(Id),
     Parts(Box<(LargeRecord, u64, Vec<Pair>)>),
@@ -80,7 +83,7 @@
     /// Everything has been read.
     pub(crate) active: bool,
     /// Why leadership is over.
-    pub(crate) down: Option<&'static str>,
+    pub(crate) down: Option<StepDown>,
     pub(crate) took_at: u64,
     loading: u32,
     load_retry: Vec<(&'static str, String, u64)>,
@@ -94,6 +97,11 @@
     /// read again at a time.
     pub(crate) parts: BTreeMap<Id, Parts>,
     pub(crate) dead_parts: Vec<Parts>,
+    /// Jobs whose end this leader has written, with the revision of that: news of them that the watch
+    /// brings from before is old.
+    pub(crate) ended: BTreeMap<Id, u64>,
+    /// Jobs that are not known before their parts have been read, with the version of the record.
+    pub(crate) reading_parts: BTreeMap<Id, u64>,
     pub(crate) parts_later: Vec<(u64, LargeRecord, u64)>,
     watch_from: Option<u64>,
     watch_at: Option<u64>,
@@ -201,6 +209,8 @@
             large: Vec::new(),
             parts: BTreeMap::new(),
             dead_parts: Vec::new(),
+            ended: BTreeMap::new(),
+            reading_parts: BTreeMap::new(),
             parts_later: Vec::new(),
             watch_from: None,
             watch_at: None,
@@ -522,7 +532,7 @@
 
     fn job_set(&mut self, ctx: &mut Ctx, path: &str, v: Value, version: u64) {
         let id = &path[keys::JOBS.len().min(path.len())..];
-        if self.jobs.get(id).is_some_and(|j| j.version > version) {
+        if self.ended.contains_key(id) || self.jobs.get(id).is_some_and(|j| j.version > version) {
             return;
         }
         let Some(rec) = Stored::read(v) else {
@@ -629,11 +639,11 @@
                 self.loading -= 1;
                 self.load_retry.push((prefix, after, ctx.now.mono + ctx.set.report_ms() / 60));
             }
-            (LeadWait::Load(..), _) => self.down = Some("could not read everything"),
+            (LeadWait::Load(..), _) => self.down = Some(StepDown::Unreadable),
             (LeadWait::Renew, result) => {
                 self.renewing = false;
                 match result {
-                    Ok(StateReply::Missing) => self.down = Some("the lease has run out"),
+                    Ok(StateReply::Missing) => self.down = Some(StepDown::LeaseEnded),
                     Ok(_) => {}
                     Err(_) => self.renew_at = ctx.now.mono + ctx.set.report_ms() / 12,
                 }
@@ -646,6 +656,7 @@
                         Change { set: Some(path), v: Some(v), version, .. } => self.job_set(ctx, &path, v, version),
                         Change { drop: Some(path), version, .. } => {
                             let id = path[keys::JOBS.len().min(path.len())..].to_string();
+                            self.reading_parts.retain(|job, read| **job != *id || *read > version);
                             if self.jobs.get(id.as_str()).is_some_and(|j| j.version < version) {
                                 self.job_gone(ctx, &id);
                             }
@@ -653,11 +664,16 @@
                         _ => {}
                     }
                 }
+                self.ended.retain(|_, end| *end > news.ledger);
                 self.watch(ctx);
             }
-            (LeadWait::Watch, Ok(StateReply::TooOld)) => self.down = Some("changes were missed"),
+            (LeadWait::Watch, Ok(StateReply::TooOld)) => self.down = Some(StepDown::ChangesMissed),
             (LeadWait::Watch, _) => self.watch_at = Some(ctx.now.mono + ctx.set.report_ms() / 20),
-            (LeadWait::Refresh(_), Ok(StateReply::Found(pair))) => self.job_set(ctx, &pair.path, pair.v, pair.version),
+            (LeadWait::Refresh(id), Ok(StateReply::Found(pair))) if self.jobs.contains_key(&id) => {
+                self.job_set(ctx, &pair.path, pair.v, pair.version)
+            }
+            // The answer is late. A job that has ended meanwhile never comes back.
+            (LeadWait::Refresh(_), Ok(StateReply::Found(_))) => {}
             (LeadWait::Refresh(id), Ok(StateReply::Missing)) => self.job_gone(ctx, &id),
             (LeadWait::Refresh(id), _) => self.refresh(ctx, id),
             (LeadWait::Parts(got), result) => {
@@ -668,6 +684,14 @@
             (LeadWait::Commit, result) => self.committed(ctx, result),
             (LeadWait::Settle, result) => self.settle(ctx, result),
             (LeadWait::Settled(version), result) => self.settled(ctx, version, result),
+            (LeadWait::ForeignWrite(write), result) => {
+                let found = match result {
+                    Ok(StateReply::Found(pair)) => Some(pair.version),
+                    Ok(StateReply::Missing) => Some(0),
+                    _ => None,
+                };
+                self.down = Some(StepDown::ForeignWrite(ForeignWrite { found, ..write }));
+            }
             _ => {}
         }
     }
@@ -712,7 +736,9 @@
         self.ask_ends(ctx);
         while let Some(i) = self.parts_later.iter().position(|(at, ..)| now >= *at) {
             let (_, rec, version) = self.parts_later.swap_remove(i);
-            self.read_parts(ctx, rec, version, Vec::new());
+            if self.reading_parts.get(rec.job()) == Some(&version) {
+                self.read_parts(ctx, rec, version, Vec::new());
+            }
         }
         self.rounds(ctx);
         if self.replan && now >= self.plan_at {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod queue;
 mod rent;
 mod send_out;
+mod step_down;
 
 pub use io::{Batch, Command, Effect, IoError, Now, Severity, StateReply, StateRequest};
 pub use node::Node;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -6,6 +6,7 @@
 use crate::limits::Granted;
 use crate::model::keys;
 use crate::settings::{Settings, Tuning};
+use crate::step_down::StepDown;
 use crate::work::Work;
 use serde_json::{Value, json};
 use shaleshunt_peer::Frame;
@@ -350,7 +351,7 @@
         // dropped and would hold the worker here while its lease runs out.
         let theirs = report.token >> crate::leader::TOKEN_BITS;
         if self.leader.as_ref().is_some_and(|l| theirs > l.epoch) {
-            self.deposed("a worker has seen a newer token");
+            self.deposed(StepDown::NewerToken);
         }
         let me = self.ctx.set.label.clone();
         match &mut self.leader {
@@ -568,12 +569,13 @@
         self.ctx.state(watch, Wait::Vote(VoteWait::Watch));
     }
 
-    fn deposed(&mut self, why: &str) {
+    fn deposed(&mut self, why: StepDown) {
         if let Some(l) = self.leader.take() {
             self.ctx.log(Severity::Info, format!("epoch {}: steps down: {why}", l.epoch));
             self.ctx.state(StateRequest::EndHold { pass: l.pass }, Wait::Ignore);
             self.foreman = None;
-            self.look_soon(if why == crate::floor::UNHEARD { 3.0 } else { 0.01 });
+            // A leader that no machine reaches leaves the next election to others.
+            self.look_soon(if why == StepDown::Unheard { 3.0 } else { 0.01 });
         }
     }
 
@@ -604,7 +606,7 @@
                     // A newer leader than the one we know, ourselves perhaps.
                     self.epoch = epoch;
                     if self.leader.as_ref().is_some_and(|l| l.epoch < epoch) {
-                        self.deposed("a peer leads a newer epoch");
+                        self.deposed(StepDown::NewerLeader);
                     }
                     self.foreman = Some(leader);
                 }
@@ -640,7 +642,7 @@
         let mut down = None;
         if let Some(l) = &mut self.leader {
             l.turn(&mut self.ctx);
-            down = l.down;
+            down = l.down.take();
         }
         if let Some(why) = down {
             self.deposed(why);
--- a/crates/core/src/parts.rs
+++ b/crates/core/src/parts.rs
@@ -31,6 +31,13 @@
     pub k: bool,
 }
 
+impl LargeRecord {
+    /// Its job, by the prefix of the parts.
+    pub fn job(&self) -> &str {
+        self.p.get(keys::PARTS.len()..).and_then(|rest| rest.split('/').next()).unwrap_or_default()
+    }
+}
+
 /// What a key of an unfinished job holds.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(untagged)]
@@ -187,6 +194,7 @@
 impl Leader {
     /// Reads the parts of a job that has come.
     pub(crate) fn read_parts(&mut self, ctx: &mut Ctx, rec: LargeRecord, version: u64, got: Vec<Pair>) {
+        self.reading_parts.insert(rec.job().into(), version);
         let after = got.last().map(|p| p.path.clone()).unwrap_or_default();
         let prefix = rec.p.clone();
         let wait = self.wait(LeadWait::Parts(Box::new((rec, version, got))));
@@ -202,12 +210,17 @@
         mut got: Vec<Pair>,
         result: Result<StateReply, IoError>,
     ) {
+        // The record has changed or is gone since: this answer is late.
+        if self.reading_parts.get(rec.job()) != Some(&version) {
+            return;
+        }
         match result {
             Ok(StateReply::Page(page)) => {
                 got.extend(page.pairs);
                 if page.truncated {
                     self.read_parts(ctx, rec, version, got);
                 } else {
+                    self.reading_parts.remove(rec.job());
                     self.large_set(ctx, &rec, version, got);
                 }
             }
--- /dev/null
+++ b/crates/core/src/step_down.rs
@@ -0,0 +1,62 @@
+//! Why a leader gives up its leadership.
+
+use std::fmt;
+
+/// A key of the leader's that has another version than the one the leader knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct ForeignWrite {
+    pub key: String,
+    /// The version that the leader's transaction required.
+    pub expected: u64,
+    /// The version at the state service, if it could be read; 0 for a key that is not there.
+    pub found: Option<u64>,
+}
+
+/// The reason for which a leader steps down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum StepDown {
+    /// The epoch key has changed.
+    NewerEpoch,
+    /// A peer leads a newer epoch.
+    NewerLeader,
+    /// A worker reports a token of a newer epoch.
+    NewerToken,
+    /// The lease at the state service has ended.
+    LeaseEnded,
+    /// The state service no longer has all changes since the last answered watch.
+    ChangesMissed,
+    /// The records could not be read during the takeover.
+    Unreadable,
+    /// The state service calls a transaction wrong, and it cannot be made smaller.
+    TransactionRejected,
+    /// Keys that only the leader writes were written by somebody else.
+    ForeignWrite(ForeignWrite),
+    /// No machine reports to this leader.
+    Unheard,
+}
+
+impl fmt::Display for StepDown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StepDown::NewerEpoch => write!(f, "a newer epoch has begun"),
+            StepDown::NewerLeader => write!(f, "a peer leads a newer epoch"),
+            StepDown::NewerToken => write!(f, "a worker has seen a newer token"),
+            StepDown::LeaseEnded => write!(f, "the lease has run out"),
+            StepDown::ChangesMissed => write!(f, "changes were missed"),
+            StepDown::Unreadable => write!(f, "could not read everything"),
+            StepDown::TransactionRejected => write!(f, "a transaction was rejected"),
+            StepDown::Unheard => write!(f, "no machine is heard"),
+            StepDown::ForeignWrite(ForeignWrite { key, expected, found }) => {
+                write!(f, "somebody else writes the leader's keys: {key} expected at version {expected}, ")?;
+                match found {
+                    Some(0) => write!(f, "not there"),
+                    Some(version) => write!(f, "found at {version}"),
+                    None => write!(f, "not read since"),
+                }
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
