More machines than sockets: connections close with the answer, calls wait by urgency

Need: one kept connection for each of 4,000 machines passes the 2,000 to 3,353 sockets of a controller; those that came were refused, users and health checks among them. Change: seven eighths of the connections are kept; beyond, the one whose next request is expected last (learned) is closed with its answer, never in the middle of a request. A thirty-second of the sockets is held for users and health checks. Direct calls that have to wait go by urgency: stops, starts, questions. Unused outgoing connections give way by as many as there are too many. Before: 1,000 machines and 64 connections: refused from the 65th on (test fails with the closing taken out). After: passes.

--- a/crates/core/src/front.rs
+++ b/crates/core/src/front.rs
@@ -10,7 +10,7 @@
 use shaleshunt_wire::state::{Condition, Pair, Txn, Write};
 use shaleshunt_wire::user::{JobStatus, JobView, Shape, Submission};
 use shaleshunt_wire::{MAX_BODY, Room};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// What a front request's answer is for.
 #[derive(Debug)]
@@ -114,6 +114,9 @@
     to_read: VecDeque<String>,
     looked: bool,
     look_at: u64,
+    /// Jobs that await many others and were asked about, and until when those are looked at without
+    /// another question: more than one question's patience has time for.
+    long_lists: BTreeMap<String, u64>,
     /// Awaited jobs that were never accepted, with the place of the look that showed it.
     absent: Vec<(String, u64)>,
     order: u64,
@@ -155,6 +158,8 @@
 const LOOKS: usize = 64;
 /// More awaited jobs than this are too many to be looked at for each question.
 const MANY: usize = LOOKS * 4;
+/// Jobs with long lists that are kept looked at.
+const LONG_LISTS: usize = 8;
 const NEVER_ACCEPTED: &str = "awaits a job that was never accepted";
 const NOT_KNOWN: &str = "jobs that it awaits could not be looked at";
 /// Share of the state service's requests that reads for polls of all nodes take, and that one node's
@@ -303,6 +308,26 @@
         ctx.answer(asked.id, answer);
     }
 
+    /// Looks at the jobs on long lists again, a round at a time, when half of the time has passed for which
+    /// what was seen of them counts.
+    fn turn_long_lists(&mut self, ctx: &Ctx) {
+        let now = ctx.now.mono;
+        let open = &self.open.of;
+        self.long_lists.retain(|job, until| *until > now && open.contains_key(job));
+        if !self.looking.is_empty() || ctx.state_down() {
+            return;
+        }
+        let lately = Self::lately(ctx);
+        let since = Moment { at: lately.at.midpoint(now), ..lately };
+        for job in self.long_lists.keys() {
+            let Some(known) = self.open.of.get(job) else { continue };
+            if let (Before::Unknown(jobs), _) = self.before(&known.awaits, since) {
+                self.look_at_jobs(ctx, jobs);
+                return;
+            }
+        }
+    }
+
     /// Goes on with what waited for looks, and sends looks that are due.
     fn turn_held(&mut self, ctx: &mut Ctx, counts: &Counts, leader: Option<&Leader>) {
         if self.held.is_empty() {
@@ -447,6 +472,10 @@
             let (mut found, many) = self.before(&known.awaits, since);
             if many {
                 let lately = Self::lately(ctx);
+                if self.long_lists.len() < LONG_LISTS || self.long_lists.contains_key(&asked.job) {
+                    let until = ctx.now.mono + (ctx.set.cancel_s * 1000.0) as u64;
+                    self.long_lists.insert(asked.job.clone(), until);
+                }
                 found = self.before(&known.awaits, Moment { at: since.at.min(lately.at), ..lately }).0;
             }
             match found {
@@ -522,6 +551,7 @@
     /// Sends waiting acceptances, many in one transaction.
     pub fn turn(&mut self, ctx: &mut Ctx, counts: &Counts, leader: Option<&Leader>) {
         self.turn_held(ctx, counts, leader);
+        self.turn_long_lists(ctx);
         self.compare(ctx);
         let patience = (shaleshunt_wire::SUBMIT_PATIENCE_S * 1000.0 * 0.6) as u64;
         while self.queue.front().is_some_and(|p| ctx.now.mono.saturating_sub(p.since) > patience) {
--- a/crates/loopback/src/http.rs
+++ b/crates/loopback/src/http.rs
@@ -6,8 +6,11 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use shaleshunt_net::client::Call;
+use shaleshunt_net::permits::Urgency;
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::net::TcpListener;
 
 /// A request, read completely.
@@ -86,3 +89,8 @@
     }
     decoded
 }
+
+/// A request of a stand-in.
+pub fn call<'a>(address: &'a str, method: Method, path: &'a str, body: Bytes, patience: Duration) -> Call<'a> {
+    Call { address, method, path, body, patience, urgency: Urgency::Normal }
+}
--- a/crates/loopback/src/machines.rs
+++ b/crates/loopback/src/machines.rs
@@ -1,6 +1,6 @@
 //! Stand-in machines: each reports to one controller at a time over HTTP and takes direct commands.
 
-use crate::http::{Received, json, serve};
+use crate::http::{Received, call, json, serve};
 use bytes::Bytes;
 use hyper::Method;
 use rand::Rng;
@@ -101,7 +101,7 @@
         let sent = (now, report.session, report.tick);
         let body = serde_json::to_vec(&report).map(Bytes::from).unwrap_or_default();
         let address = &fleet.controllers[node].1;
-        let answer = client.send(address, Method::POST, paths::CHECKIN, body, PATIENCE).await;
+        let answer = client.send(call(address, Method::POST, paths::CHECKIN, body, PATIENCE)).await;
         match outcome(&fleet, node, answer) {
             Outcome::Answered(reply) => {
                 fleet.counts.borrow_mut().reports += 1;
--- a/crates/loopback/src/users.rs
+++ b/crates/loopback/src/users.rs
@@ -1,5 +1,6 @@
 //! Stand-in users: they submit jobs at a steady rate and ask about each until it is done.
 
+use crate::http::call;
 use crate::machines::Fleet;
 use bytes::Bytes;
 use hyper::Method;
@@ -77,7 +78,7 @@
     let body = Bytes::from(serde_json::to_vec(&submission).unwrap_or_default());
     let mut address = pick();
     loop {
-        let answer = client.send(&address, Method::POST, paths::SUBMISSIONS, body.clone(), PATIENCE).await;
+        let answer = client.send(call(&address, Method::POST, paths::SUBMISSIONS, body.clone(), PATIENCE)).await;
         if matches!(answer, Ok((200 | 201, _))) {
             break;
         }
@@ -87,7 +88,7 @@
     let path = format!("{}/{}", paths::SUBMISSIONS, submission.id);
     loop {
         tokio::time::sleep(POLL).await;
-        let answer = client.send(&address, Method::GET, &path, Bytes::new(), PATIENCE).await;
+        let answer = client.send(call(&address, Method::GET, &path, Bytes::new(), PATIENCE)).await;
         let Ok((200, body)) = answer else {
             address = pick();
             continue;
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,6 +1,7 @@
 //! One kind of HTTP client for all outside services: kept connections, one request on each at a
 //! time, and a clear word on whether a request may have been carried out.
 
+use crate::permits::{Permits, Urgency};
 use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -13,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 
 /// Largest answer taken.
@@ -21,6 +21,23 @@
 
 type Sender = SendRequest<Full<Bytes>>;
 
+/// A request to another service.
+#[derive(Debug, Clone)]
+pub struct Call<'a> {
+    /// The service's address.
+    pub address: &'a str,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query.
+    pub path: &'a str,
+    /// Body, empty for none.
+    pub body: Bytes,
+    /// Longest time to wait for room here, and then for the answer.
+    pub patience: Duration,
+    /// Who goes first where some have to wait.
+    pub urgency: Urgency,
+}
+
 /// A connection that is not in use, since when.
 type Idle = (Instant, Sender);
 
@@ -29,33 +46,27 @@
 pub struct Client {
     idle: Rc<RefCell<HashMap<String, Vec<Idle>>>>,
     sockets: Sockets,
-    permits: Rc<Semaphore>,
+    permits: Permits,
     connect: Duration,
 }
 
 impl Client {
     /// A client that has at most `most` requests under way.
     pub fn new(sockets: &Sockets, most: usize, connect: Duration) -> Client {
-        Client { idle: Rc::default(), sockets: sockets.clone(), permits: Rc::new(Semaphore::new(most)), connect }
+        Client { idle: Rc::default(), sockets: sockets.clone(), permits: Permits::new(most), connect }
     }
 
     /// Sends a request; the answer's status and body.
-    pub async fn send(
-        &self,
-        addr: &str,
-        method: Method,
-        path: &str,
-        body: Bytes,
-        patience: Duration,
-    ) -> Result<(u16, Bytes), IoError> {
-        let Ok(Ok(_permit)) = tokio::time::timeout(patience, self.permits.acquire()).await else {
+    pub async fn send(&self, call: Call<'_>) -> Result<(u16, Bytes), IoError> {
+        let Call { address, method, path, body, patience, urgency } = call;
+        let Ok(_permit) = tokio::time::timeout(patience, self.permits.acquire(urgency)).await else {
             return Err(IoError::Busy);
         };
-        let mut sender = self.connection(addr).await?;
+        let mut sender = self.connection(address).await?;
         let request = Request::builder()
             .method(method)
             .uri(path)
-            .header("host", addr)
+            .header("host", address)
             .header("content-type", "application/json")
             .body(Full::new(body))
             .map_err(|_| IoError::NotSent)?;
@@ -74,7 +85,7 @@
         };
         let answer = tokio::time::timeout(patience, exchange).await.map_err(|_| IoError::Unknown)??;
         if !sender.is_closed() && self.sockets.roomy() {
-            self.idle.borrow_mut().entry(addr.to_string()).or_default().push((Instant::now(), sender));
+            self.idle.borrow_mut().entry(address.to_string()).or_default().push((Instant::now(), sender));
         }
         Ok(answer)
     }
@@ -88,15 +99,16 @@
             list.retain(|(since, sender)| !sender.is_closed() && now.duration_since(*since) < age);
         }
         idle.retain(|_, list| !list.is_empty());
-        if !self.sockets.roomy() {
+        let excess = self.sockets.excess();
+        if excess > 0 {
             let mut since: Vec<Instant> = idle.values().flatten().map(|(since, _)| *since).collect();
             since.sort_unstable();
-            if let Some(middle) = since.get(since.len() / 2).copied() {
-                idle.retain(|_, list| {
-                    list.retain(|(since, _)| *since > middle);
-                    !list.is_empty()
-                });
-            }
+            // The oldest, as many as there are too many.
+            let Some(last) = since.get(excess.min(since.len()).saturating_sub(1)).copied() else { return };
+            idle.retain(|_, list| {
+                list.retain(|(since, _)| *since > last);
+                !list.is_empty()
+            });
         }
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,15 +3,18 @@
 
 pub mod client;
 pub mod connections;
+pub mod idle_times;
 pub mod meter;
 pub mod outside;
 pub mod peers;
+pub mod permits;
 pub mod server;
 pub mod sockets;
 
 use bytes::Bytes;
-use client::{Budget, Client};
+use client::{Budget, Call, Client};
 use peers::{Heard, Link};
+use permits::Urgency;
 use server::Ask;
 use shaleshunt_core::io::{Answer, Command, Effect, RequestId};
 use shaleshunt_core::{IoError, Node, Now, Settings, Severity, StateReply, StateRequest, Tuning};
@@ -44,10 +47,14 @@
 
 /// Most commands in one batch, so that health checks never wait for long.
 const BATCH: usize = 256;
-/// Most commands waiting.
+/// Answers and frames waiting for the owner. Whoever brings more waits with it, so nothing is lost.
 const QUEUE: usize = 4096;
+/// Longest answer that is passed on to a peer: a frame, less what goes around it.
+const MAX_RELAYED: usize = shaleshunt_peer::MAX_FRAME - 1024;
 /// Memory that one connection may come to, in KiB.
 const CONNECTION_KIB: f64 = 20.0;
+/// Frames waiting for a peer, at the least; more than a second's requests are dropped, as in a network.
+const LEAST_FRAMES: usize = 64;
 /// A connection that brings nothing for so many reporting intervals is closed: its machine or user
 /// is gone or cut off.
 const IDLE_REPORTS: f64 = 4.0;
@@ -63,6 +70,8 @@
     workers: Client,
     links: HashMap<String, Link>,
     relays: Relays,
+    /// Frames dropped since a peer's link last took one.
+    dropped: HashMap<String, u64>,
     /// Number of the last request passed on through a peer. It begins anywhere, so that an answer to
     /// an earlier process, which may come just after a restart, is not taken for one to this one.
     relay_count: u64,
@@ -82,20 +91,25 @@
     let by_memory = (settings.mem_mb * 1024.0 / 2.0 / CONNECTION_KIB) as usize;
     let sockets = Sockets::new(wiring.sockets);
     let limits = server::Limits {
-        connections: sockets.front().min(by_memory).max(16),
+        connections: sockets.incoming().min(by_memory).max(16),
+        reserved: sockets.reserved(),
+        report,
         idle: report.mul_f64(IDLE_REPORTS),
         patience: Duration::from_secs_f64(shaleshunt_wire::SUBMIT_PATIENCE_S),
         answer: Duration::from_secs_f64(shaleshunt_wire::REPORT_PATIENCE_S),
     };
-    let (asks, mut asked) = mpsc::channel(QUEUE);
+    // A connection has one request under way, so there is room for all.
+    let (asks, mut asked) = mpsc::channel(limits.connections + limits.reserved);
     let (done, mut results) = mpsc::channel(QUEUE);
     let (hear, mut heard) = mpsc::channel(QUEUE);
     tokio::task::spawn_local(server::serve(front, asks, limits, sockets.clone()));
     tokio::task::spawn_local(peers::listen(back, hear, sockets.clone()));
+    // Requests that are passed on come at the rate of the state service; they leave with each batch.
+    let frames = (settings.state_rps as usize).max(LEAST_FRAMES);
     let links = wiring
         .peers
         .iter()
-        .map(|(label, address)| (label.clone(), peers::dial(settings.label.clone(), address.clone(), patience)))
+        .map(|(label, address)| (label.clone(), peers::dial(settings.label.clone(), address.clone(), patience, frames)))
         .collect();
     let began = Instant::now();
     let mut node = Node::new(settings.clone(), tuning, now(began), rand::random());
@@ -105,6 +119,7 @@
         workers: Client::new(&sockets, sockets.calls(), patience / 2),
         links,
         relays: Relays::default(),
+        dropped: HashMap::new(),
         relay_count: rand::random(),
         cloud_budget: Budget::new(settings.cloud_rps * 0.9),
         done,
@@ -189,9 +204,11 @@
                     let Ok(request) = serde_json::from_slice::<StateRequest>(&body) else { return };
                     let (method, path, body) = outside::state_request(&request);
                     let patience = patience + hold(&request);
-                    let (status, body) = match state.send(&address, method, &path, body, patience).await {
+                    let call =
+                        Call { address: &address, method, path: &path, body, patience, urgency: Urgency::Normal };
+                    let (status, body) = match state.send(call).await {
                         // What no frame holds is no answer; of a watch it means to read anew.
-                        Ok((_, body)) if body.len() > shaleshunt_peer::MAX_FRAME / 2 => {
+                        Ok((_, body)) if body.len() > MAX_RELAYED => {
                             (if matches!(request, StateRequest::Watch { .. }) { 410 } else { 0 }, Bytes::new())
                         }
                         Ok(answer) => answer,
@@ -230,9 +247,7 @@
                 }
             }
             Effect::Peer(label, frame) => {
-                if let Some(link) = self.links.get(&label) {
-                    let _ = link.try_send(frame);
-                }
+                self.tell_peer(label, frame);
             }
             Effect::State(id, request, via) => self.ask_state(id, request, via),
             Effect::Cloud(id, request) => {
@@ -242,7 +257,9 @@
                 tokio::task::spawn_local(async move {
                     let result = if affordable {
                         let (method, path, body) = outside::cloud_request(&request);
-                        let answer = cloud.send(&address, method, &path, body, patience).await;
+                        let urgency = Urgency::Normal;
+                        let call = Call { address: &address, method, path: &path, body, patience, urgency };
+                        let answer = cloud.send(call).await;
                         answer.and_then(|(status, body)| outside::cloud_reply(&request, status, &body))
                     } else {
                         Err(IoError::Throttled)
@@ -252,10 +269,13 @@
             }
             Effect::Orders(id, address, orders) => {
                 let (workers, done, patience) = (self.workers.clone(), self.done.clone(), self.patience);
+                let urgency = outside::orders_urgency(&orders);
                 tokio::task::spawn_local(async move {
                     let body = serde_json::to_vec(&orders).map(Bytes::from).unwrap_or_default();
                     let path = shaleshunt_wire::paths::ORDERS;
-                    let answer = workers.send(&address, hyper::Method::POST, path, body, patience).await;
+                    let method = hyper::Method::POST;
+                    let call = Call { address: &address, method, path, body, patience, urgency };
+                    let answer = workers.send(call).await;
                     let result = answer.and_then(|(status, body)| outside::orders_reply(status, &body));
                     let _ = done.send(Command::Orders(id, result)).await;
                 });
@@ -263,6 +283,22 @@
         }
     }
 
+    /// Hands a frame to a peer's link. What a link does not take is dropped, as a network would.
+    fn tell_peer(&mut self, label: String, frame: Frame) {
+        let Some(link) = self.links.get(&label) else { return };
+        if link.try_send(frame).is_ok() {
+            if let Some(frames) = self.dropped.remove(&label) {
+                tracing::info!("{}: {frames} frames to {label} were dropped", self.me.label);
+            }
+            return;
+        }
+        let frames = self.dropped.entry(label.clone()).or_default();
+        *frames += 1;
+        if *frames == 1 {
+            tracing::info!("{}: frames to {label} are dropped: its link takes no more", self.me.label);
+        }
+    }
+
     fn ask_state(&mut self, id: RequestId, request: StateRequest, via: Option<String>) {
         let done = self.done.clone();
         let patience = self.patience + hold(&request);
@@ -290,7 +326,9 @@
         let (state, address) = (self.state.clone(), self.wiring.state.clone());
         tokio::task::spawn_local(async move {
             let (method, path, body) = outside::state_request(&request);
-            let answer = state.send(&address, method, &path, body, patience).await;
+            let urgency = Urgency::Normal;
+            let call = Call { address: &address, method, path: &path, body, patience, urgency };
+            let answer = state.send(call).await;
             let result = match answer {
                 // More changes than are taken at once: to be read anew.
                 Err(IoError::TooLong) if matches!(request, StateRequest::Watch { .. }) => Ok(StateReply::TooOld),
--- a/crates/net/src/outside.rs
+++ b/crates/net/src/outside.rs
@@ -1,5 +1,6 @@
 //! The state service, the cloud and workers over HTTP: how requests are written and answers read.
 
+use crate::permits::Urgency;
 use bytes::Bytes;
 use hyper::Method;
 use serde::de::DeserializeOwned;
@@ -8,7 +9,7 @@
 use shaleshunt_wire::cloud::{Catalog, ListPage, MachineNames};
 use shaleshunt_wire::state::{Hold, NewHold, News, Page, Pair, TxnReply};
 use shaleshunt_wire::user::Problem;
-use shaleshunt_wire::worker::Report;
+use shaleshunt_wire::worker::{Order, Orders, Report};
 use shaleshunt_wire::{MAX_LIST, paths};
 
 fn json<T: serde::Serialize>(value: &T) -> Bytes {
@@ -28,6 +29,16 @@
         .collect()
 }
 
+/// How much direct commands to a worker matter.
+pub fn orders_urgency(orders: &Orders) -> Urgency {
+    let stops = |order: &Order| matches!(order, Order::Halt { .. });
+    match orders.orders.as_slice() {
+        [] => Urgency::Question,
+        orders if orders.iter().any(stops) => Urgency::Stop,
+        _ => Urgency::Normal,
+    }
+}
+
 /// How a request to the state service is written.
 pub fn state_request(request: &StateRequest) -> (Method, String, Bytes) {
     match request {
--- a/crates/net/src/peers.rs
+++ b/crates/net/src/peers.rs
@@ -10,9 +10,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-/// Frames waiting for a peer, at most; more are dropped, as in a network.
-const QUEUE: usize = 64;
-
 /// What a link brings.
 pub enum Heard {
     /// A frame from a peer.
@@ -24,9 +21,9 @@
 /// Where to send frames for one peer.
 pub type Link = mpsc::Sender<Frame>;
 
-/// Opens and keeps a link to a peer.
-pub fn dial(me: String, address: String, patience: Duration) -> Link {
-    let (tell, mut told) = mpsc::channel::<Frame>(QUEUE);
+/// Opens and keeps a link to a peer, for which at most `queue` frames wait.
+pub fn dial(me: String, address: String, patience: Duration, queue: usize) -> Link {
+    let (tell, mut told) = mpsc::channel::<Frame>(queue);
     tokio::task::spawn_local(async move {
         loop {
             let connect = tokio::time::timeout(patience, TcpStream::connect(&address)).await;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,6 +1,7 @@
 //! The HTTP server for users, workers and health checks.
 
-use crate::connections::{Activity, Connections};
+use crate::connections::{Activity, Admission, Capacity, Connections};
+use crate::idle_times::RequestKind;
 use crate::sockets::Sockets;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
@@ -39,6 +40,10 @@
 pub struct Limits {
     /// Most open connections.
     pub connections: usize,
+    /// Most open connections beyond those, for users and health checks.
+    pub reserved: usize,
+    /// Time between a machine's reports.
+    pub report: Duration,
     /// Longest time for a request's head to arrive, and so for a connection to stay unused.
     pub idle: Duration,
     /// Longest time for a body to arrive.
@@ -49,7 +54,9 @@
 
 /// Serves until the process ends.
 pub async fn serve(listener: TcpListener, asks: Asks, limits: Limits, sockets: Sockets) {
-    let connections = Connections::new();
+    let capacity = Capacity { most: limits.connections, reserved: limits.reserved };
+    let connections = Connections::new(capacity, limits.report);
+    let mut full = false;
     tokio::task::spawn_local(connections.clone().close_idle(limits.idle));
     loop {
         let stream = match listener.accept().await {
@@ -60,12 +67,17 @@
                 continue;
             }
         };
-        if connections.open() >= limits.connections {
-            // At the limit a new connection is closed at once; nobody waits for nothing.
+        let admission = connections.admit();
+        if admission != Admission::Open && !std::mem::replace(&mut full, true) {
+            tracing::info!("{} connections are open: machines are sent to other nodes", connections.open());
+        }
+        full &= connections.open() > limits.connections / 2;
+        if admission == Admission::Refused {
+            // A new connection is closed at once; nobody waits for nothing.
             continue;
         }
         let (asks, socket) = (asks.clone(), sockets.open());
-        let activity = connections.activity();
+        let activity = connections.activity(admission);
         connections.spawn(socket, activity.clone(), connection(stream, asks, limits, activity));
     }
 }
@@ -76,9 +88,9 @@
         let (asks, activity) = (asks.clone(), activity.clone());
         async move {
             activity.begin_request();
-            let response = handle(request, &asks, limits).await;
-            activity.end_request();
-            Ok::<_, std::convert::Infallible>(response)
+            let Handled { kind, response } = handle(request, &asks, limits, activity.admission()).await;
+            let closes = activity.end_request(kind);
+            Ok::<_, std::convert::Infallible>(if closes { close(response) } else { response })
         }
     });
     // Half closed connections are allowed so that nothing more is read while a request is handled: that
@@ -129,39 +141,91 @@
     response
 }
 
-async fn handle(request: Request<Incoming>, asks: &Asks, limits: Limits) -> Response<Full<Bytes>> {
+/// A response, and what the request was.
+struct Handled {
+    kind: RequestKind,
+    response: Response<Full<Bytes>>,
+}
+
+async fn handle(request: Request<Incoming>, asks: &Asks, limits: Limits, admission: Admission) -> Handled {
+    let ask = match read_request(request, limits).await {
+        Ok(ask) => ask,
+        Err(response) => return Handled { kind: RequestKind::User, response },
+    };
+    // What is held for users and health checks is not for machines: they go to another node.
+    if admission == Admission::Reserved && matches!(ask, Ask::Checkin(_)) {
+        let response = problem(503, "no room for machines", None);
+        return Handled { kind: RequestKind::ReportElsewhere, response };
+    }
+    let kind = request_kind(&ask);
+    let Some(answer) = ask_owner(ask, asks, limits).await else {
+        return Handled { kind, response: problem(503, "no answer in time", Some(1)) };
+    };
+    let kind = answered_kind(kind, &answer);
+    Handled { kind, response: write(answer) }
+}
+
+fn request_kind(ask: &Ask) -> RequestKind {
+    match ask {
+        Ask::Submit(_) | Ask::Status(_) | Ask::Withdraw(_) => RequestKind::User,
+        Ask::Up => RequestKind::HealthCheck,
+        Ask::Checkin(_) => RequestKind::Report,
+    }
+}
+
+/// The kind of a request now that its answer is known.
+fn answered_kind(asked: RequestKind, answer: &Answer) -> RequestKind {
+    match (asked, answer) {
+        (RequestKind::Report, Answer::Report(reply)) if reply.orders.is_empty() => RequestKind::Report,
+        (RequestKind::Report, Answer::Report(_)) => RequestKind::ReportWithOrders,
+        (RequestKind::Report, _) => RequestKind::ReportElsewhere,
+        (other, _) => other,
+    }
+}
+
+/// The owner's answer, unless it takes too long.
+async fn ask_owner(ask: Ask, asks: &Asks, limits: Limits) -> Option<Answer> {
+    // A report is answered with the batch that it comes in, so it needs no timer.
+    let answered_at_once = matches!(ask, Ask::Checkin(_));
+    let (tell, told) = oneshot::channel();
+    // There is room for one request of each connection, so this fails only when the process ends.
+    asks.try_send((ask, tell)).ok()?;
+    if answered_at_once {
+        return told.await.ok();
+    }
+    tokio::time::timeout(limits.answer, told).await.ok()?.ok()
+}
+
+/// What a request asks of the owner, or the answer to one that it is not asked about.
+async fn read_request(request: Request<Incoming>, limits: Limits) -> Result<Ask, Response<Full<Bytes>>> {
     let method = request.method().clone();
     let path = request.uri().path().to_string();
     let below = path.strip_prefix(paths::SUBMISSIONS).and_then(|p| p.strip_prefix('/'));
     let ask = match (below, path.as_str()) {
         (None, paths::SUBMISSIONS) => {
             if method != Method::POST {
-                return problem(405, "POST only", None);
+                return Err(problem(405, "POST only", None));
             }
-            match read_body(request, limits.patience).await {
-                Err(response) => return response,
-                Ok(body) => match Submission::parse(&body) {
-                    Ok(s) => Ask::Submit(Box::new(s)),
-                    Err(e) => return problem(400, &e.to_string(), None),
-                },
+            let body = read_body(request, limits.patience).await?;
+            match Submission::parse(&body) {
+                Ok(s) => Ask::Submit(Box::new(s)),
+                Err(e) => return Err(problem(400, &e.to_string(), None)),
             }
         }
         (None, paths::UP) => {
             if method != Method::GET {
-                return problem(405, "GET only", None);
+                return Err(problem(405, "GET only", None));
             }
             Ask::Up
         }
         (None, paths::CHECKIN) => {
             if method != Method::POST {
-                return problem(405, "POST only", None);
+                return Err(problem(405, "POST only", None));
             }
-            match read_body(request, limits.patience).await {
-                Err(response) => return response,
-                Ok(body) => match Report::parse(&body) {
-                    Some(r) => Ask::Checkin(Box::new(r)),
-                    None => return problem(400, "not a report", None),
-                },
+            let body = read_body(request, limits.patience).await?;
+            match Report::parse(&body) {
+                Some(r) => Ask::Checkin(Box::new(r)),
+                None => return Err(problem(400, "not a report", None)),
             }
         }
         (Some(rest), _) => {
@@ -170,42 +234,26 @@
                 None => (rest, None),
             };
             match last {
-                None if method != Method::GET => return problem(405, "GET only", None),
-                Some(paths::WITHDRAW) if method != Method::POST => return problem(405, "POST only", None),
+                None if method != Method::GET => return Err(problem(405, "GET only", None)),
+                Some(paths::WITHDRAW) if method != Method::POST => return Err(problem(405, "POST only", None)),
                 None | Some(paths::WITHDRAW) => {}
-                Some(_) => return problem(404, "no such path", None),
+                Some(_) => return Err(problem(404, "no such path", None)),
             }
             if !shaleshunt_wire::user::valid_id(id) {
-                return problem(404, "no such job", None);
+                return Err(problem(404, "no such job", None));
             }
             let id = id.to_string();
             if last.is_none() {
                 Ask::Status(id)
             } else {
                 // A body, if any, is read so that the connection can be used again.
-                if let Err(response) = read_body(request, limits.patience).await {
-                    return response;
-                }
+                read_body(request, limits.patience).await?;
                 Ask::Withdraw(id)
             }
         }
-        (None, _) => return problem(404, "no such path", None),
+        (None, _) => return Err(problem(404, "no such path", None)),
     };
-    // A report is answered with the batch that it comes in, so it needs no timer.
-    let answered_at_once = matches!(ask, Ask::Checkin(_));
-    let (tell, told) = oneshot::channel();
-    if asks.try_send((ask, tell)).is_err() {
-        return problem(503, "too many requests at once", Some(1));
-    }
-    let answer = if answered_at_once {
-        told.await.ok()
-    } else {
-        tokio::time::timeout(limits.answer, told).await.ok().and_then(Result::ok)
-    };
-    match answer {
-        Some(answer) => write(answer),
-        None => problem(503, "no answer in time", Some(1)),
-    }
+    Ok(ask)
 }
 
 fn write(answer: Answer) -> Response<Full<Bytes>> {
--- a/crates/net/src/sockets.rs
+++ b/crates/net/src/sockets.rs
@@ -36,9 +36,13 @@
         self.open.get()
     }
     /// Connections that come in, from workers, users and health checks: three quarters.
-    pub fn front(&self) -> usize {
+    pub fn incoming(&self) -> usize {
         (self.limit * 3 / 4).max(16)
     }
+    /// Connections that come in beyond those, for users and health checks only: a thirty-second.
+    pub fn reserved(&self) -> usize {
+        (self.limit / 32).max(2)
+    }
     /// Direct calls under way to workers: an eighth.
     pub fn calls(&self) -> usize {
         (self.limit / 8).max(4)
@@ -57,7 +61,11 @@
     }
     /// Whether unused connections may be kept: not beyond three quarters of the limit.
     pub fn roomy(&self) -> bool {
-        self.open.get() < self.limit * 3 / 4
+        self.excess() == 0
+    }
+    /// How many sockets are open beyond those that leave room for unused ones.
+    pub fn excess(&self) -> usize {
+        (self.open.get() + 1).saturating_sub(self.limit * 3 / 4)
     }
 }
 
--- a/crates/net/src/sockets/tests.rs
+++ b/crates/net/src/sockets/tests.rs
@@ -6,7 +6,7 @@
 fn shares_leave_room_for_each_other() {
     for limit in [256, 1024, 2000, 3050, 3353, 65_536] {
         let s = Sockets::new(limit);
-        let all = s.front() + s.calls() + s.state() + s.cloud() + s.peers();
+        let all = s.incoming() + s.reserved() + s.calls() + s.state() + s.cloud() + s.peers();
         assert!(all + 8 <= limit, "{all} of {limit}");
     }
 }
--- a/crates/net/tests/http.rs
+++ b/crates/net/tests/http.rs
@@ -2,27 +2,34 @@
 //! the server goes on serving.
 
 use shaleshunt_core::io::Answer;
-use shaleshunt_net::client::Client;
-use shaleshunt_net::server::{Limits, serve};
+use shaleshunt_net::client::{Call, Client};
+use shaleshunt_net::permits::Urgency;
+use shaleshunt_net::server::{Ask, Limits, serve};
 use shaleshunt_net::sockets::Sockets;
+use shaleshunt_wire::worker::ReportReply;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
-/// Runs a server whose owner says that all is well, and talks to it.
+/// Runs a server whose owner says that all is well and has no commands for machines, and talks to it.
 fn with_server<F: Future<Output = ()>>(connections: usize, patience: Duration, talk: impl FnOnce(SocketAddr) -> F) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let address = listener.local_addr().unwrap();
         let (asks, mut asked) = mpsc::channel(16);
-        let limits = Limits { connections, idle: patience, patience, answer: Duration::from_secs(5) };
+        let report = Duration::from_secs(4);
+        let answer = Duration::from_secs(5);
+        let limits = Limits { connections, reserved: 2, report, idle: patience, patience, answer };
         tokio::task::spawn_local(serve(listener, asks, limits, Sockets::new(4096)));
         tokio::task::spawn_local(async move {
-            while let Some((_, tell)) = asked.recv().await {
-                let _ = tell.send(Answer::Healthy);
+            while let Some((ask, tell)) = asked.recv().await {
+                let _ = tell.send(match ask {
+                    Ask::Checkin(_) => Answer::Report(ReportReply { token: 1, orders: Vec::new() }),
+                    _ => Answer::Healthy,
+                });
             }
         });
         talk(address).await;
@@ -44,6 +51,11 @@
     String::from_utf8_lossy(&got).split_whitespace().nth(1)?.parse().ok()
 }
 
+fn health_check(address: &str) -> Call<'_> {
+    let (method, path, body) = (hyper::Method::GET, "/up", Default::default());
+    Call { address, method, path, body, patience: Duration::from_secs(60), urgency: Urgency::Normal }
+}
+
 fn post(path: &str, body: &str) -> Vec<u8> {
     format!("POST {path} HTTP/1.1\r\nhost: x\r\ncontent-length: {}\r\n\r\n{body}", body.len()).into_bytes()
 }
@@ -163,7 +175,8 @@
         // An owner that has not come to its queue yet.
         let (asks, asked) = mpsc::channel(8);
         let minute = Duration::from_secs(60);
-        let limits = Limits { connections: 64, idle: minute, patience: minute, answer: minute };
+        let report = Duration::from_secs(4);
+        let limits = Limits { connections: 64, reserved: 2, report, idle: minute, patience: minute, answer: minute };
         tokio::task::spawn_local(serve(listener, asks.clone(), limits, Sockets::new(4096)));
         let mut waiting = Vec::new();
         for _ in 0..8 {
@@ -192,8 +205,7 @@
         let sockets = Sockets::new(16);
         let client = Client::new(&sockets, 4, Duration::from_secs(60));
         let to = address.to_string();
-        let up =
-            async || client.send(&to, hyper::Method::GET, "/up", Default::default(), Duration::from_secs(60)).await;
+        let up = async || client.send(health_check(&to)).await;
         let mut others: Vec<_> = (0..10).map(|_| sockets.open()).collect();
         assert_eq!(up().await.unwrap().0, 200);
         assert_eq!(sockets.opened(), 11, "kept while there is room");
@@ -218,3 +230,96 @@
         }
     });
 }
+
+fn report(machine: usize) -> Vec<u8> {
+    let body = format!(
+        r#"{{"loom":"vm-{machine}","endpoint":"10.0.0.1:9","frame":"f","hall":"a","borrowed":true,"shift":1,"tick":9,
+        "baton":1,"warnS":null,"pieces":[]}}"#
+    );
+    post("/checkin", &body)
+}
+
+/// A kept connection, and the head of the last answer on it.
+struct Kept {
+    stream: TcpStream,
+    head: String,
+}
+
+impl Kept {
+    /// Opens a connection and sends a request; `None` if it was closed without an answer.
+    async fn open(address: SocketAddr, request: &[u8]) -> Option<Kept> {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(request).await.ok()?;
+        let mut kept = Kept { stream, head: String::new() };
+        kept.read_head().await.then_some(kept)
+    }
+
+    async fn read_head(&mut self) -> bool {
+        let mut got = Vec::new();
+        let mut buf = [0; 4096];
+        while !got.windows(4).any(|w| w == b"\r\n\r\n") {
+            match self.stream.read(&mut buf).await {
+                Ok(n) if n > 0 => got.extend_from_slice(&buf[..n]),
+                _ => return false,
+            }
+        }
+        self.head = String::from_utf8_lossy(&got).to_lowercase();
+        true
+    }
+
+    fn status(&self) -> &str {
+        self.head.split_whitespace().nth(1).unwrap_or_default()
+    }
+
+    fn closes(&self) -> bool {
+        self.head.contains("connection: close")
+    }
+}
+
+/// With one connection for each of 4,000 machines a controller ran out of sockets and refused those that came,
+/// users among them. More machines than connections: each gets its answer, and the one that would only be idle
+/// is closed with it.
+#[test]
+fn more_machines_than_connections_are_all_answered() {
+    with_server(64, Duration::from_secs(60), |address| async move {
+        let mut kept = Vec::new();
+        for machine in 0..1000 {
+            let connection = Kept::open(address, &report(machine)).await.expect("an answer for each machine");
+            assert_eq!(connection.status(), "200");
+            if !connection.closes() {
+                kept.push(connection);
+            }
+        }
+        assert_eq!(kept.len(), 56, "seven eighths are kept open");
+        // A kept connection goes on.
+        kept[0].stream.write_all(&report(0)).await.unwrap();
+        assert!(kept[0].read_head().await && kept[0].status() == "200");
+        // Users and health checks find room beside them and are not closed first.
+        let up = Kept::open(address, b"GET /up HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+        assert!(up.status() == "200" && !up.closes());
+        let user = Kept::open(address, &post("/submissions", GOOD)).await.unwrap();
+        assert!(user.status() == "200" && !user.closes());
+    });
+}
+
+/// When every connection is taken, health checks and users still get an answer, and machines are told at once
+/// to go elsewhere.
+#[test]
+fn room_is_held_for_users_and_health_checks() {
+    with_server(4, Duration::from_secs(60), |address| async move {
+        let mut taken = Vec::new();
+        for _ in 0..4 {
+            // Stuck in the middle of a request: nothing may be closed.
+            let mut stream = TcpStream::connect(address).await.unwrap();
+            stream.write_all(b"POST /checkin HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\n{").await.unwrap();
+            taken.push(stream);
+        }
+        // All four are open once this one finds only what is reserved.
+        let turned_away = Kept::open(address, &report(1)).await.unwrap();
+        assert!(turned_away.status() == "503" && turned_away.closes(), "{}", turned_away.head);
+        let up = Kept::open(address, b"GET /up HTTP/1.1\r\nhost: x\r\n\r\n").await.unwrap();
+        assert!(up.status() == "200" && !up.closes());
+        let user = Kept::open(address, &post("/submissions", GOOD)).await.unwrap();
+        assert!(user.status() == "200" && user.closes(), "{}", user.head);
+    });
+}
