--- /dev/null
+++ b/crates/core/src/fleet.rs
@@ -0,0 +1,133 @@
+//! The machines that a leader knows, and which of them have room left.
+//!
+//! A pass over the queue asks for machines with room many times a second. In a busy fleet few have any, so
+//! machines are also kept by the CPUs that they have free: what is asked then grows with those, not with
+//! the fleet.
+
+use crate::model::{Id, Machine};
+use shaleshunt_wire::Room;
+use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Deref;
+
+/// Machines are looked up one by one if at most one in so many qualifies; else all are gone through, which
+/// takes less for each.
+const LOOK_UP_BELOW: usize = 4;
+
+/// The machines by name. What a machine has room for changes only through here.
+#[derive(Debug, Default)]
+pub(crate) struct Fleet {
+    machines: BTreeMap<Id, Machine>,
+    /// Machines by their free CPUs, in thousandths.
+    by_free: BTreeMap<i64, BTreeSet<Id>>,
+}
+
+impl Deref for Fleet {
+    type Target = BTreeMap<Id, Machine>;
+    fn deref(&self) -> &Self::Target {
+        &self.machines
+    }
+}
+
+impl Fleet {
+    pub(crate) fn get_mut(&mut self, id: &str) -> Option<&mut Machine> {
+        self.machines.get_mut(id)
+    }
+
+    pub(crate) fn values_mut(&mut self) -> impl Iterator<Item = &mut Machine> {
+        self.machines.values_mut()
+    }
+
+    /// Adds a machine, in place of one of the same name.
+    pub(crate) fn insert(&mut self, machine: Machine) {
+        let (id, free) = (machine.id.clone(), machine.free().cores);
+        if let Some(old) = self.machines.insert(id.clone(), machine) {
+            self.remove_free(&id, old.free().cores);
+        }
+        self.by_free.entry(free).or_default().insert(id);
+    }
+
+    pub(crate) fn remove(&mut self, id: &str) -> Option<Machine> {
+        let machine = self.machines.remove(id)?;
+        self.remove_free(id, machine.free().cores);
+        Some(machine)
+    }
+
+    /// A task takes room on a machine.
+    pub(crate) fn take_room(&mut self, id: &str, need: &Room) {
+        self.change(id, |machine| machine.used.add(need, 1));
+    }
+
+    /// A task's room on a machine is free again.
+    pub(crate) fn give_room(&mut self, id: &str, need: &Room) {
+        self.change(id, |machine| machine.used.add(need, -1));
+    }
+
+    /// All the room that a machine has became known.
+    pub(crate) fn set_room(&mut self, id: &str, room: Room) {
+        self.change(id, |machine| machine.room = room);
+    }
+
+    /// The room of machines by their type became known.
+    pub(crate) fn set_rooms(&mut self, room_of: impl Fn(&str) -> Option<Room>) {
+        let changed: Vec<(Id, Room)> = self
+            .machines
+            .values()
+            .filter_map(|m| room_of(&m.frame).filter(|room| *room != m.room).map(|room| (m.id.clone(), room)))
+            .collect();
+        for (id, room) in changed {
+            self.set_room(&id, room);
+        }
+    }
+
+    fn change(&mut self, id: &str, change: impl FnOnce(&mut Machine)) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let before = machine.free().cores;
+        change(machine);
+        let after = machine.free().cores;
+        if before != after {
+            let id = machine.id.clone();
+            self.remove_free(&id, before);
+            self.by_free.entry(after).or_default().insert(id);
+        }
+    }
+
+    fn remove_free(&mut self, id: &str, free: i64) {
+        if let Some(ids) = self.by_free.get_mut(&free) {
+            ids.remove(id);
+            if ids.is_empty() {
+                self.by_free.remove(&free);
+            }
+        }
+    }
+
+    /// How many machines have so many CPUs free.
+    pub(crate) fn count_with_cores(&self, cores: i64) -> usize {
+        self.by_free.range(cores..).map(|(_, ids)| ids.len()).sum()
+    }
+
+    /// Machines that have so many CPUs free, in no order that matters.
+    pub(crate) fn with_cores(&self, cores: i64) -> Box<dyn Iterator<Item = &Machine> + '_> {
+        if self.count_with_cores(cores) * LOOK_UP_BELOW <= self.machines.len() {
+            Box::new(self.fullest_first(cores))
+        } else {
+            Box::new(self.machines.values().filter(move |m| m.free().cores >= cores))
+        }
+    }
+
+    /// Machines that have so many CPUs free, those with the fewest first.
+    pub(crate) fn fullest_first(&self, cores: i64) -> impl Iterator<Item = &Machine> + '_ {
+        self.by_free.range(cores..).flat_map(|(_, ids)| ids).filter_map(|id| self.machines.get(id))
+    }
+
+    /// Machines that have so many CPUs free, those with the most first.
+    pub(crate) fn emptiest_first(&self, cores: i64) -> impl Iterator<Item = &Machine> + '_ {
+        self.by_free.range(cores..).rev().flat_map(|(_, ids)| ids).filter_map(|id| self.machines.get(id))
+    }
+
+    /// Whether the order by free CPUs is that of the machines.
+    pub(crate) fn consistent(&self) -> bool {
+        let kept: usize = self.by_free.values().map(BTreeSet::len).sum();
+        let found = |m: &Machine| self.by_free.get(&m.free().cores).is_some_and(|ids| ids.contains(&m.id));
+        kept == self.machines.len() && self.machines.values().all(found)
+    }
+}
--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -9,12 +9,16 @@
 use crate::model::*;
 use crate::node::Ctx;
 use crate::step_down::StepDown;
+use shaleshunt_wire::Room;
 use shaleshunt_wire::worker::*;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A task that has run for so many times what its job's tasks usually take overruns.
 const OVERRUN: f64 = 1.5;
 
+/// A machine is slow if at least so many of its tasks overrun, and a third of them.
+const LEAST_OVERRUNS: usize = 3;
+
 /// Most commands in one message, so that no line grows too long.
 const MAX_ORDERS: usize = 300;
 
@@ -42,7 +46,7 @@
         let owned = self.owned.as_ref().is_some_and(|o| o.contains(&r.machine));
         let mut m = self.new_machine(ctx, machine, &r.frame, &r.zone, r.spot, owned);
         m.deaf = if self.owned.is_some() && !owned { u32::MAX / 2 } else { 0 };
-        self.machines.insert(machine.clone(), m);
+        self.machines.insert(m);
         self.confirm.push_back(machine.clone());
         ctx.log(Severity::Debug, format!("machine {machine} reports"));
     }
@@ -73,10 +77,11 @@
                 self.zones_heard.insert(m.zone.clone(), (now, 1));
             }
         }
+        let mut room = m.room;
         if m.zone.is_empty() {
             // Known so far only by a record of a placement.
             (m.frame, m.zone, m.spot) = (r.frame, r.zone, r.spot);
-            m.room = Default::default();
+            room = Room::default();
             for p in &m.places {
                 if let Some(j) = self.jobs.get_mut(&p.job) {
                     *j.zones.entry(m.zone.clone()).or_default() += 1;
@@ -88,10 +93,10 @@
         if m.endpoint != r.endpoint {
             m.endpoint = r.endpoint;
         }
-        if m.room == Default::default()
+        if room == Room::default()
             && let Some(f) = ctx.catalog.as_ref().and_then(|c| c.frame(&m.frame))
         {
-            m.room = f.room();
+            room = f.room();
             self.replan = true;
         }
         match r.warn_s {
@@ -195,7 +200,10 @@
         let strange = seen.iter().filter(|s| !s.4).map(|s| s.3);
         strangers.extend(strange.map(|p| (p.task.clone(), p.attempt, exit_cause(p.status, p.cause))));
         m.strangers = strangers;
-        let (warned, known) = (m.warned.is_some(), m.block.is_some());
+        let (warned, known, new_room) = (m.warned.is_some(), m.block.is_some(), room != m.room);
+        if new_room {
+            self.machines.set_room(machine, room);
+        }
         if !known {
             self.join_block(ctx, machine);
         }
@@ -211,6 +219,7 @@
         if warned {
             self.drain(ctx, machine);
         }
+        self.watch_speed(ctx, machine);
         true
     }
 
@@ -576,33 +585,32 @@
     /// only. What a job's tasks take is known from those that ended, else from its estimate with
     /// more doubt. One task may be long by itself; several at once on one machine are its doing.
     /// Nothing but replicas goes there for half a lease. What runs there stays: it has a part of
-    /// its way behind it, and the machine may be well again at any time.
-    pub(crate) fn watch_speed(&mut self, ctx: &mut Ctx) {
+    /// its way behind it, and the machine may be well again at any time. Looked at with each report.
+    pub(crate) fn watch_speed(&mut self, ctx: &mut Ctx, machine: &Id) {
         let now = ctx.now.mono;
-        let mut found: Vec<Id> = Vec::new();
-        for m in self.machines.values() {
-            let (mut runs, mut over) = (0, 0);
-            for p in &m.places {
-                let Some(since) = p.running.filter(|_| p.halt.is_none()) else { continue };
-                let Some(job) = self.jobs.get(&p.job).filter(|j| !j.is_service()) else { continue };
-                runs += 1;
-                let usual =
-                    if job.ran.0 >= 3 { job.ran.1 as f64 / f64::from(job.ran.0) } else { self.estimate(job) * 1500.0 };
-                let elapsed = now.saturating_sub(since) as f64;
-                over += u32::from(elapsed > usual * OVERRUN + ctx.set.report_s * 100.0);
-            }
-            if over >= 3 && over * 3 >= runs {
-                found.push(m.id.clone());
-            }
+        let Some(m) = self.machines.get(machine) else { return };
+        if m.places.len() < LEAST_OVERRUNS {
+            return;
         }
-        for id in found {
-            if let Some(m) = self.machines.get_mut(&id) {
-                if now >= m.slow_until {
-                    ctx.log(Severity::Debug, format!("machine {id} is slow"));
-                }
-                m.slow_until = now + (ctx.set.lease_s * 500.0) as u64;
-            }
+        ctx.work.speed_examined();
+        let (mut runs, mut over) = (0, 0);
+        for p in &m.places {
+            let Some(since) = p.running.filter(|_| p.halt.is_none()) else { continue };
+            let Some(job) = self.jobs.get(&p.job).filter(|j| !j.is_service()) else { continue };
+            runs += 1;
+            let usual =
+                if job.ran.0 >= 3 { job.ran.1 as f64 / f64::from(job.ran.0) } else { self.estimate(job) * 1500.0 };
+            let elapsed = now.saturating_sub(since) as f64;
+            over += usize::from(elapsed > usual * OVERRUN + ctx.set.report_s * 100.0);
+        }
+        if over < LEAST_OVERRUNS || over * 3 < runs {
+            return;
+        }
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        if now >= m.slow_until {
+            ctx.log(Severity::Debug, format!("machine {machine} is slow"));
         }
+        m.slow_until = now + (ctx.set.lease_s * 500.0) as u64;
     }
 
     /// Asks hired machines whose report is overdue whether they live: one that was taken without
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -3,6 +3,7 @@
 
 use crate::awaits::Stages;
 use crate::commit::{Flight, Written};
+use crate::fleet::Fleet;
 use crate::io::*;
 use crate::model::*;
 use crate::node::{Ctx, Wait};
@@ -24,8 +25,9 @@
 /// So many times a node's lag goes by between two passes over the queue, up to a fifth of a reporting interval.
 const LAG_BETWEEN_PASSES: u64 = 4;
 
-/// Most arrivals remembered.
-const ARRIVALS: usize = 2000;
+/// Most arrivals remembered: three times what comes within two boot times in a threefold burst at 4,000
+/// machines. Of more the oldest are forgotten.
+const ARRIVALS: usize = 6000;
 
 /// Steps of the leader that wait for an answer.
 #[derive(Debug)]
@@ -112,7 +114,7 @@
     pub(crate) attempts: u64,
     slots: u64,
     pub(crate) jobs: BTreeMap<Id, Job>,
-    pub(crate) machines: BTreeMap<Id, Machine>,
+    pub(crate) machines: Fleet,
     pub(crate) pages: Pages,
     /// Who awaits whom.
     pub(crate) stages: Stages,
@@ -151,6 +153,8 @@
     pub(crate) guaranteed: BTreeSet<Id>,
     /// Shorter tasks than this go to spot machines first.
     pub(crate) spot_below: f64,
+    /// CPUs of machines that cannot be taken away, and when they were counted.
+    pub(crate) safe_cores: (u64, i64),
     /// Where the next sample of machines begins.
     pub(crate) sample_from: Option<Id>,
     /// By zone: when last a machine in it reported, and how many do.
@@ -180,12 +184,14 @@
     pub(crate) round_at: u64,
     pub(crate) list_at: u64,
     pub(crate) listing: bool,
+    /// Pages of the cloud's list that have come so far, and when the next may be asked for.
     pub(crate) list_seen: Vec<shaleshunt_wire::cloud::Listed>,
+    pub(crate) list_pages: u32,
     pub(crate) prices_at: u64,
     pub(crate) refused: BTreeMap<crate::rent::Place, (u64, u32)>,
     pub(crate) learned: BTreeMap<String, Learned>,
     /// Jobs that arrived lately, as they arrived.
-    pub(crate) arrivals: Vec<(u64, Job)>,
+    pub(crate) arrivals: VecDeque<(u64, Job)>,
     pub(crate) commit_at: u64,
 }
 
@@ -220,7 +226,7 @@
             attempts: 0,
             slots: 0,
             jobs: BTreeMap::new(),
-            machines: BTreeMap::new(),
+            machines: Fleet::default(),
             pages: Pages::default(),
             stages: Stages::default(),
             touches: 0,
@@ -245,6 +251,7 @@
             behind: BTreeMap::new(),
             guaranteed: BTreeSet::new(),
             spot_below: 0.0,
+            safe_cores: (0, 0),
             sample_from: None,
             zones_heard: BTreeMap::new(),
             few_overdue: false,
@@ -270,10 +277,11 @@
             list_at: now,
             listing: false,
             list_seen: Vec::new(),
+            list_pages: 0,
             prices_at: now,
             refused: BTreeMap::new(),
             learned: BTreeMap::new(),
-            arrivals: Vec::new(),
+            arrivals: VecDeque::new(),
             commit_at: now,
         };
         l.writes = ctx.limits.rate() * ctx.tune.write_share;
@@ -405,7 +413,7 @@
             (m.block, m.recorded) = (Some(n), true);
             block.owned = r.o;
             block.machines.insert(id.clone());
-            self.machines.insert(id, m);
+            self.machines.insert(m);
         }
         self.newest_block = self.newest_block.max(n);
         self.blocks.insert(n, block);
@@ -424,7 +432,7 @@
             // Gone by a return after which its jobs' records were not written any more, or not
             // recorded: it counts until its silence or another return proves it gone.
             let m = self.new_machine(ctx, machine, "", "", false, false);
-            self.machines.insert(machine.clone(), m);
+            self.machines.insert(m);
         }
         if let Some(m) = self.machines.get_mut(machine)
             && !m.has_image(image)
@@ -477,7 +485,7 @@
             if !self.machines.contains_key(&name) {
                 let mut m = self.new_machine(ctx, &name, &rec.f, &rec.z, rec.b, rec.o);
                 (m.endpoint, m.session, m.hired) = (rec.e, rec.s, rec.t);
-                self.machines.insert(name.clone(), m);
+                self.machines.insert(m);
                 self.join_block(ctx, &name);
             }
             for (job, task, attempt) in rec.p {
@@ -588,11 +596,11 @@
 
     /// A job that may run has come: as much may come again.
     pub(crate) fn arrived(&mut self, now: u64, id: &Id) {
-        if self.arrivals.len() < ARRIVALS
-            && let Some(j) = self.jobs.get(id)
-        {
-            let rec = JobRecord { s: j.spec.clone(), at: j.at, x: false, k: false };
-            self.arrivals.push((now, Job::new(rec, j.version)));
+        let Some(j) = self.jobs.get(id) else { return };
+        let rec = JobRecord { s: j.spec.clone(), at: j.at, x: false, k: false };
+        self.arrivals.push_back((now, Job::new(rec, j.version)));
+        if self.arrivals.len() > ARRIVALS {
+            self.arrivals.pop_front();
         }
     }
 
@@ -726,7 +734,6 @@
         if now >= self.floor_at {
             self.floor_at = now + ctx.set.report_ms() / 8;
             self.watch_floor(ctx);
-            self.watch_speed(ctx);
             self.ask_overdue(ctx);
         }
         if now >= self.told_at {
@@ -755,6 +762,7 @@
 
     /// A line for operators: how much there is to do, and what holds it up.
     fn tell_state(&mut self, ctx: &mut Ctx) {
+        debug_assert!(self.machines.consistent(), "machines by free CPUs");
         let waiting: u32 = self.jobs.values().filter(|j| !j.aborted).map(Job::waiting).sum();
         let used = self.machines.values().filter(|m| m.usable(ctx.now.mono, &ctx.set)).count();
         let line = format!(
@@ -847,9 +855,12 @@
 
     /// Puts a placement on a machine and counts it everywhere.
     pub(crate) fn put(&mut self, machine: &Id, p: Placement) {
-        let Some(m) = self.machines.get_mut(machine) else { return };
+        if !self.machines.contains_key(machine) {
+            return;
+        }
         let Some(job) = self.jobs.get_mut(&p.job) else { return };
-        m.used.add(&p.need, 1);
+        self.machines.take_room(machine, &p.need);
+        let Some(m) = self.machines.get_mut(machine) else { return };
         let list = job.live.entry(p.task).or_default();
         if list.is_empty() && !job.done.get(p.task) {
             job.placed += 1;
@@ -874,10 +885,11 @@
         let m = self.machines.get_mut(machine)?;
         let at = m.places.iter().position(|p| p.slot == slot)?;
         let p = m.places.remove(at);
-        m.used.add(&p.need, -1);
         if m.places.is_empty() {
             m.idle_since = now;
         }
+        self.machines.give_room(machine, &p.need);
+        let m = self.machines.get(machine)?;
         self.replan = true;
         if let Some(job) = self.jobs.get_mut(&p.job) {
             if let Some(list) = job.live.get_mut(&p.task) {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod awaits;
 mod commit;
+mod fleet;
 mod floor;
 mod front;
 mod leader;
--- a/crates/core/src/node.rs
+++ b/crates/core/src/node.rs
@@ -7,7 +7,7 @@
 use crate::model::keys;
 use crate::settings::{Settings, Tuning};
 use crate::step_down::StepDown;
-use crate::work::Work;
+use crate::work::{Work, WorkCounter};
 use serde_json::{Value, json};
 use shaleshunt_peer::Frame;
 use shaleshunt_wire::cloud::Catalog;
@@ -56,7 +56,7 @@
     /// node is.
     pub lag_ms: u64,
     /// Work done so far.
-    pub work: Work,
+    pub work: WorkCounter,
     /// A number that no other process of any node has.
     pub process: u64,
     /// When the state service last answered, and when it last did not.
@@ -212,7 +212,7 @@
                 waits: HashMap::new(),
                 step: 0,
                 lag_ms: 0,
-                work: Work::default(),
+                work: WorkCounter::default(),
                 process,
                 state_ok: now.mono,
                 state_bad: 0,
@@ -267,7 +267,7 @@
 
     /// The work done so far.
     pub fn work(&self) -> Work {
-        self.ctx.work
+        self.ctx.work.done()
     }
 
     /// Whether this node leads and has read everything.
--- a/crates/core/src/place.rs
+++ b/crates/core/src/place.rs
@@ -55,6 +55,16 @@
     }
 }
 
+/// Where machines are looked for.
+#[derive(Debug, Clone, Copy)]
+struct Search<'a> {
+    /// The only zone, if there is one.
+    zone: Option<&'a str>,
+    /// So many suitable machines are enough; the fullest are taken first, or the emptiest for work that may
+    /// have to make room.
+    most_seats: usize,
+}
+
 impl Leader {
     /// Estimated run time of a job's task: the owner's, corrected by what its class did.
     pub(crate) fn estimate(&self, job: &Job) -> f64 {
@@ -115,7 +125,8 @@
 
     /// Places what can be placed.
     pub(crate) fn schedule(&mut self, ctx: &mut Ctx) {
-        ctx.work.passes += 1;
+        ctx.work.pass();
+        let begun = ctx.work.done().machines_examined;
         self.send_out(ctx);
         let now = ctx.now.mono;
         let queue = self.queue(ctx);
@@ -139,10 +150,9 @@
                 continue;
             }
             let known_full = full.iter().any(|demand| demand.includes(job));
-            let seats = if known_full { Vec::new() } else { self.seats(ctx, job, most, None) };
-            if !known_full {
-                ctx.work.machines_examined += self.machines.len() as u64;
-            }
+            let examined = ctx.work.done().machines_examined - begun;
+            let search = Search { zone: None, most_seats: self.most_seats(ctx, examined, most) };
+            let seats = if known_full { Vec::new() } else { self.seats(ctx, job, most, search) };
             let free_choice = !job.spec.one_zone && !job.spec.scatter;
             // A job that keeps off machines where it failed says nothing about those.
             let unrestricted = free_choice && job.failed_on.is_empty();
@@ -179,6 +189,15 @@
         }
     }
 
+    /// How many suitable machines a job may be given to choose from. All, until a pass has examined as many
+    /// as it may; then a sample, so that a pass ends in time however large fleet and queue are.
+    fn most_seats(&self, ctx: &Ctx, examined: u64, tasks: u32) -> usize {
+        if (examined as f64) < ctx.tune.pass_machines {
+            return usize::MAX;
+        }
+        (ctx.tune.sample as usize).max(tasks as usize)
+    }
+
     /// Puts a plan for a task on a machine; nothing leaves before it is committed.
     fn plan(&mut self, now: u64, id: &Id, task: u32, machine: &Id, attempt: u64) -> u64 {
         let slot = self.next_slot();
@@ -224,7 +243,8 @@
         };
         for zone in zones {
             let Some(job) = self.jobs.get(id) else { return };
-            let seats = self.seats(ctx, job, most, zone.as_deref());
+            let search = Search { zone: zone.as_deref(), most_seats: usize::MAX };
+            let seats = self.seats(ctx, job, most, search);
             if (seats.len() as u32) < most {
                 continue;
             }
@@ -242,7 +262,8 @@
     /// Machines for up to `most` further tasks of a job, one entry a task, best first: one that holds
     /// the image, one that does not have to be rented, the fullest that still has room. Replicas
     /// keep apart. One look at the machines serves all the job's tasks.
-    fn seats(&self, ctx: &Ctx, job: &Job, most: u32, zone: Option<&str>) -> Vec<Id> {
+    fn seats(&self, ctx: &Ctx, job: &Job, most: u32, search: Search) -> Vec<Id> {
+        let zone = search.zone;
         struct Seat<'a> {
             fit: Fit,
             machine: &'a Machine,
@@ -258,7 +279,18 @@
         // machine that holds its image.
         let yielding = job.urgency <= Urgency::Normal && !hasty && !job.is_gang();
         let mut seats: Vec<Seat> = Vec::new();
-        for m in self.machines.values() {
+        let cores = job.need.cores;
+        let machines: Box<dyn Iterator<Item = &Machine>> = match (search.most_seats < usize::MAX, yielding) {
+            (false, _) => self.machines.with_cores(cores),
+            (true, true) => Box::new(self.machines.emptiest_first(cores)),
+            (true, false) => Box::new(self.machines.fullest_first(cores)),
+        };
+        let mut examined = 0;
+        for m in machines {
+            if seats.len() >= search.most_seats {
+                break;
+            }
+            examined += 1;
             if !m.free().fits(&job.need) || !m.usable(now, &ctx.set) || m.places.len() >= cap {
                 continue;
             }
@@ -294,6 +326,7 @@
                 mates,
             });
         }
+        ctx.work.examined(examined);
         let mut found = Vec::new();
         if apart {
             // Zones and machines are looked at anew for each task.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -66,10 +66,15 @@
 
     /// The estimate below which tasks that may go to spot machines go there first: what is longer
     /// fills the machines that cannot be taken away, where a task that would lose most is safe.
-    fn spot_below(&self, ctx: &Ctx) -> f64 {
+    fn spot_below(&mut self, ctx: &Ctx) -> f64 {
         let now = ctx.now.mono;
-        let safe = self.machines.values().filter(|m| !m.spot && m.answers(now, &ctx.set));
-        let mut left: i64 = safe.map(|m| m.room.cores).sum();
+        if now >= self.safe_cores.0 {
+            let safe = self.machines.values().filter(|m| !m.spot && m.answers(now, &ctx.set));
+            let cores = safe.map(|m| m.room.cores).sum();
+            ctx.work.examined(self.machines.len());
+            self.safe_cores = (now + (ctx.tune.round_s * 1000.0) as u64, cores);
+        }
+        let mut left = self.safe_cores.1;
         let mut may_move = Vec::new();
         for j in self.jobs.values().filter(|j| !j.aborted && !j.awaits()) {
             let cores = j.need.cores * i64::from(j.spec.tasks - j.done_count.min(j.spec.tasks));
@@ -183,9 +188,10 @@
 
     /// A stage's slots on all machines that its jobs may use.
     fn all_slots(&self, ctx: &Ctx, stage: &str, job: &Job) -> i64 {
+        ctx.work.examined(self.machines.count_with_cores(job.need.cores));
         let free: i64 = self
             .machines
-            .values()
+            .with_cores(job.need.cores)
             .filter(|m| m.usable(ctx.now.mono, &ctx.set) && Self::allows(job, &m.frame, &m.zone, m.spot))
             .map(|m| m.free().times(&job.need, 100_000))
             .sum();
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -12,6 +12,11 @@
 /// A machine that has not come up after so many times its type's usual boot time is returned.
 const NEVER_BOOTS: f64 = 4.0;
 
+/// Share of the cloud's requests that a long list of machines takes, and of a second's requests the pages
+/// that are asked for at once.
+const LIST_SHARE: f64 = 0.25;
+const LIST_AT_ONCE: f64 = 0.5;
+
 /// Type, zone and whether it may be taken back.
 pub(crate) type Place = (String, String, bool);
 
@@ -26,9 +31,10 @@
         }
         if now >= self.list_at && !self.listing {
             self.listing = true;
-            self.list_seen.clear();
+            // After the last page that came: one that failed is asked for again.
+            let after = self.list_seen.last().map(|m| m.id.clone()).unwrap_or_default();
             let wait = self.wait(LeadWait::List);
-            ctx.cloud(CloudRequest::List { after: String::new() }, wait);
+            ctx.cloud(CloudRequest::List { after }, wait);
         }
         self.ask_hires(ctx);
         if now >= self.round_at {
@@ -51,29 +57,27 @@
                 };
                 self.catalog_dirty |=
                     self.catalog_version.is_none() || ctx.catalog.as_ref().is_none_or(|old| types(old) != types(&c));
-                for m in self.machines.values_mut() {
-                    if let Some(f) = c.frame(&m.frame) {
-                        m.room = f.room();
-                    }
-                }
+                self.machines.set_rooms(|machine_type| c.frame(machine_type).map(|f| f.room()));
                 ctx.catalog = Some(c);
                 self.replan = true;
             }
             (LeadWait::Catalog, _) => self.prices_at = now + ctx.set.report_ms() / 2,
             (LeadWait::List, Ok(CloudReply::Page(page))) => {
-                let last = page.machines.last().map(|m| m.id.clone());
+                self.listing = false;
+                self.list_pages += 1;
+                let more = page.truncated && !page.machines.is_empty();
                 self.list_seen.extend(page.machines);
-                match last {
-                    Some(after) if page.truncated => {
-                        let wait = self.wait(LeadWait::List);
-                        ctx.cloud(CloudRequest::List { after }, wait);
-                    }
-                    _ => {
-                        self.listing = false;
-                        self.list_at = now + ((ctx.set.list_lag_s.max(1.0) * 2000.0) as u64);
-                        let list = std::mem::take(&mut self.list_seen);
-                        self.listed(ctx, list);
-                    }
+                let shared = 1000.0 / (ctx.set.cloud_rps * LIST_SHARE);
+                if more {
+                    // A few pages come at once; of a longer list the rest leaves room for hires.
+                    let many = f64::from(self.list_pages) >= ctx.set.cloud_rps * LIST_AT_ONCE;
+                    self.list_at = now + if many { shared as u64 } else { 0 };
+                } else {
+                    let pages = f64::from(std::mem::take(&mut self.list_pages));
+                    let lag = ctx.set.list_lag_s.max(1.0) * 2000.0;
+                    self.list_at = now + lag.max(pages * shared) as u64;
+                    let list = std::mem::take(&mut self.list_seen);
+                    self.listed(ctx, list);
                 }
             }
             (LeadWait::List, _) => {
@@ -162,7 +166,7 @@
                 let mut m = self.new_machine(ctx, &id, &x.frame, &x.zone, x.spot, owned);
                 m.hired = ctx.now.wall.saturating_sub((x.age_s.clamp(0.0, 1e9) * 1000.0) as u64);
                 // Known by list only: recorded when it reports.
-                self.machines.insert(id.clone(), m);
+                self.machines.insert(m);
             }
             self.set_owned(&id, owned);
             let Some(m) = self.machines.get_mut(&id) else { continue };
@@ -213,7 +217,7 @@
                 for id in ids {
                     if !self.machines.contains_key(&id) {
                         let m = self.new_machine(ctx, &id, &hire.frame, &hire.zone, hire.spot, false);
-                        self.machines.insert(id.clone(), m);
+                        self.machines.insert(m);
                     }
                     self.join_block(ctx, &id);
                 }
@@ -290,9 +294,10 @@
         for m in self.machines.values() {
             // What boots in a zone that is cut off is of no use before that is over.
             let coming = m.heard.is_none() && !m.leaving && !self.zones_cut.contains(&m.zone);
-            if m.usable(now, &ctx.set) || coming {
+            let free = m.free();
+            if free.cores > 0 && free.ram > 0 && (coming || m.usable(now, &ctx.set)) {
                 let (frame, zone) = (m.frame.clone(), m.zone.clone());
-                spaces.push(Space { frame, zone, spot: m.spot, free: m.free(), machine: Some(m.id.clone()) });
+                spaces.push(Space { frame, zone, spot: m.spot, free, machine: Some(m.id.clone()) });
             }
         }
         for h in self.hires.values().filter(|h| h.answer.is_none()) {
@@ -321,12 +326,22 @@
         let real = self.jobs.values().filter(|j| !j.aborted && j.not_before <= now && j.waiting() > 0);
         let real = real.filter(|j| self.rents(ctx, j, boot_s, &mut room_for)).collect::<Vec<_>>();
         let ghosts = self.arrivals.iter().map(|(_, j)| j);
-        for job in real.into_iter().chain(ghosts) {
+        let demand: Vec<&Job> = real.into_iter().chain(ghosts).collect();
+        // Spaces are used up from the first on: those that hold not even the smallest task are not looked at again.
+        let smallest = demand.iter().map(|job| job.need.cores).min().unwrap_or(0);
+        let mut used_up = 0;
+        ctx.work.round();
+        ctx.work.spaces_examined(self.machines.len());
+        for job in demand {
             let Some(team) = ctx.set.teams.get(&job.spec.team) else { continue };
             let used = team_used.entry(job.spec.team.clone()).or_default();
             let mut left = job.waiting().min(team.room(used, &job.need));
             let mut zones: BTreeMap<String, u32> = BTreeMap::new();
-            for s in &mut spaces {
+            while spaces.get(used_up).is_some_and(|s| s.free.cores < smallest) {
+                used_up += 1;
+            }
+            for s in &mut spaces[used_up..] {
+                ctx.work.spaces_examined(1);
                 if left == 0 {
                     break;
                 }
--- a/crates/core/src/send_out.rs
+++ b/crates/core/src/send_out.rs
@@ -22,7 +22,7 @@
         for (stage, mut queue) in stages {
             queue.sort();
             let Some(first) = queue.first().and_then(|(_, id)| self.jobs.get(*id)) else { continue };
-            let slots = self.slots(stage, &first.need).max(1) as f64;
+            let slots = self.slots(ctx, stage, &first.need).max(1) as f64;
             let left = |j: &Job| (j.due().unwrap_or(0) as f64 - ctx.now.wall as f64) / 1000.0;
             let mut total: f64 = queue
                 .iter()
@@ -62,10 +62,11 @@
     }
 
     /// A stage's owned slots: its tasks that fit in owned room now free or held by it.
-    fn slots(&self, stage: &str, need: &Room) -> i64 {
+    fn slots(&self, ctx: &Ctx, stage: &str, need: &Room) -> i64 {
+        ctx.work.examined(self.machines.count_with_cores(need.cores));
         let free: i64 = self
             .machines
-            .values()
+            .with_cores(need.cores)
             .filter(|m| m.owned && m.heard.is_some())
             .map(|m| m.free().times(need, 100_000))
             .sum();
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -156,6 +156,8 @@
     begin_s = "queue.begin-within-s": 240.0, 1.0, 86400.0;
     /// Machines looked at, as a sample, when less urgent work is to make room.
     sample = "queue.sample": 64.0, 1.0, 100000.0;
+    /// Machines examined for room in one pass over the queue before a sample is looked at for each further job.
+    pass_machines = "queue.machines-per-pass": 40000.0, 1.0, 10000000.0;
     /// Passes over the queue in a reporting interval, at most.
     passes = "queue.passes-per-report": 80.0, 1.0, 1000.0;
     /// Term of a block of owned machines.
--- a/crates/testkit/src/cloud.rs
+++ b/crates/testkit/src/cloud.rs
@@ -5,6 +5,9 @@
 use shaleshunt_wire::cloud::{Catalog, ListPage, Listed, ListedStatus};
 use std::collections::BTreeMap;
 
+/// Machines on a page of the list in the scenarios.
+const SMALL_PAGE: usize = 5;
+
 /// A machine that the cloud has given out.
 #[derive(Debug, Clone)]
 pub struct Rented {
@@ -36,6 +39,8 @@
     past: Vec<(u64, Vec<Listed>)>,
     /// How old lists are.
     pub lag_ms: u64,
+    /// Machines on a page of the list; 0 for the small pages of the scenarios, so that paging is played.
+    pub page_size: usize,
     /// Out of order.
     pub down: bool,
     /// Machines hired from now on never come up.
@@ -93,9 +98,9 @@
                 let seen = self.past.iter().rev().find(|(t, _)| *t + self.lag_ms <= now);
                 let all = seen.map(|(_, l)| l.clone()).unwrap_or_default();
                 let mut machines: Vec<Listed> = all.into_iter().filter(|m| m.id > after).collect();
-                // Small pages, so that paging is played.
-                let truncated = machines.len() > 5;
-                machines.truncate(5);
+                let size = if self.page_size > 0 { self.page_size } else { SMALL_PAGE };
+                let truncated = machines.len() > size;
+                machines.truncate(size);
                 CloudReply::Page(ListPage { machines, truncated })
             }
         };
@@ -128,5 +133,8 @@
             })
             .collect();
         self.past.push((now, list));
+        // What is older than the newest that may be shown is never shown again.
+        let shown = self.past.iter().rposition(|(t, _)| *t + self.lag_ms <= now).unwrap_or(0);
+        self.past.drain(..shown);
     }
 }
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -6,6 +6,11 @@
 use shaleshunt_wire::user::{Shape, Submission, Urgency};
 use std::collections::BTreeMap;
 
+/// Fleets with more machines than this are played with pages of full size.
+const LARGE_FLEET: u32 = 500;
+/// Keys on a page of the state service there: what 512 KiB hold of the largest values.
+const LARGE_PAGE: usize = 32;
+
 /// What is wrong with a scenario's text.
 #[derive(Debug, thiserror::Error)]
 #[error("line {line}: {what}")]
@@ -232,6 +237,12 @@
         w.old = vec![self.old; self.nodes];
         w.cloud.catalog.frames = self.frames.clone();
         w.cloud.lag_ms = 3000;
+        let machines: u32 = self.machines.iter().map(|(.., n)| n).sum();
+        if machines > LARGE_FLEET {
+            // Lists and records come on pages as large as the protocol has them.
+            w.cloud.page_size = shaleshunt_wire::MAX_LIST as usize;
+            w.state.page_size = LARGE_PAGE;
+        }
         w.state.rps = self.state_rps;
         for (f, z, plain, spot) in &self.capacity {
             w.cloud.capacity.insert((f.clone(), z.clone(), false), *plain);
@@ -585,6 +596,7 @@
         "sick" => Trouble::Sick(w.next()?.into(), w.ms()?),
         "slow" => Trouble::Slow(w.next()?.into(), w.ms()?, w.number()?),
         "lost" => Trouble::Lost(w.next()?.into()),
+        "come" => Trouble::Come(w.next()?.into(), w.next()?.into(), w.number()?),
         "lost-under" => Trouble::LostUnder(w.next()?.into()),
         "taken" => Trouble::Taken(w.next()?.into(), w.ms()?),
         "cloud-down" => Trouble::CloudDown(w.ms()?),
--- a/crates/testkit/src/world.rs
+++ b/crates/testkit/src/world.rs
@@ -152,8 +152,10 @@
     Sick(String, u64),
     /// Tasks that start on a machine for a time take so many times as long.
     Slow(String, u64, u32),
-    /// A machine is gone.
+    /// Machines are gone.
     Lost(String),
+    /// So many machines of a type come up in a zone at once, though nobody asked for them.
+    Come(String, String, u32),
     /// A machine is taken after a notice.
     Taken(String, u64),
     /// The cloud is out of order for a time.
@@ -212,6 +214,7 @@
             | Trouble::LateHires(ms, by) => ms + by,
             Trouble::StateLimits(_)
             | Trouble::Lost(_)
+            | Trouble::Come(..)
             | Trouble::Duds(_)
             | Trouble::Broken(_)
             | Trouble::LostUnder(_) => 0,
@@ -586,11 +589,12 @@
         self.late_answers.get(name).filter(|(until, _)| self.now < *until).map_or(0, |(_, by)| *by)
     }
 
-    /// The machines meant: one by name, `zone:a` or `count:3`.
+    /// The machines meant: one by name, `zone:a`, `count:3`, or every third by `every:3`.
     fn machines_meant(&self, which: &str) -> Vec<String> {
         match which.split_once(':') {
             Some(("zone", zone)) => self.workers.values().filter(|w| w.zone == zone).map(|w| w.id.clone()).collect(),
             Some(("count", n)) => self.workers.keys().take(n.parse().unwrap_or(0)).cloned().collect(),
+            Some(("every", n)) => self.workers.keys().step_by(n.parse().unwrap_or(1)).cloned().collect(),
             _ => vec![which.to_string()],
         }
     }
@@ -1257,9 +1261,16 @@
                     w.slow = (now + ms, times);
                 }
             }
-            Trouble::Lost(m) => {
-                self.end_machine(&m);
-                self.cloud.take(&m);
+            Trouble::Lost(which) => {
+                for name in self.machines_meant(&which) {
+                    self.end_machine(&name);
+                    self.cloud.take(&name);
+                }
+            }
+            Trouble::Come(machine_type, zone, machines) => {
+                for _ in 0..machines {
+                    self.cloud.give(now, &machine_type, &zone, false, Some(now));
+                }
             }
             Trouble::LostUnder(task) => {
                 let holds = |w: &&Worker| {
--- a/crates/testkit/tests/work_counts.rs
+++ b/crates/testkit/tests/work_counts.rs
@@ -15,6 +15,7 @@
 
 const MACHINES: u64 = 60;
 const JOBS: u64 = 80;
+const TASKS: u64 = 200;
 const REPORT_MS: u64 = 5_000;
 
 /// A leader with a fleet that it owns, in simulated time.
@@ -29,15 +30,16 @@
 }
 
 impl Site {
-    fn new() -> Site {
+    fn new(fleet: u64) -> Site {
         let settings = common::settings(85.0);
         let mut cloud = common::cloud();
+        cloud.page_size = 500;
         let room = Room::new(16.0, 0.0, 64.0);
-        let machines = (0..MACHINES)
+        let machines = (0..fleet)
             .map(|number| {
                 let id = cloud.give(0, "f", "a", false, Some(0));
                 let mut machine = Worker::new(&id, "f", "a", false, room, 0.5, 27_000, 0);
-                machine.report_at = number * REPORT_MS / MACHINES;
+                machine.report_at = number * REPORT_MS / fleet;
                 machine
             })
             .collect();
@@ -104,7 +106,7 @@
 
     fn submit(&mut self, number: u64, cores: f64, expect_s: f64) {
         let text = format!(
-            r#"{{"ref":"wk-{number}","jobline":"x","crew":"t","shape":"array","urgency":"normal","pieces":200,
+            r#"{{"ref":"wk-{number}","jobline":"x","crew":"t","shape":"array","urgency":"normal","pieces":{TASKS},
             "cores":{cores:.3},"cards":0.0,"ramGb":1.0,"bundle":"i","imageGb":0.1,"oneZone":false,"scatter":false,
             "borrowed":false,"expectS":{expect_s:.1},"markEveryS":0.0,"markTakesS":0.0}}"#
         );
@@ -121,22 +123,26 @@
         Work {
             passes: after.passes - before.passes,
             machines_examined: after.machines_examined - before.machines_examined,
+            rounds: after.rounds - before.rounds,
+            spaces_examined: after.spaces_examined - before.spaces_examined,
+            speeds_examined: after.speeds_examined - before.speeds_examined,
         }
     }
 }
 
 /// A site with much more work than room, each job of another size, its tasks as long as said.
-fn overloaded_site(expect_s: f64) -> Site {
-    let mut site = Site::new();
+fn overloaded_site(fleet: u64, expect_s: f64) -> Site {
+    let mut site = Site::new(fleet);
     site.pass_time(10_000, 50);
     assert!(site.node.leads());
-    for number in 0..JOBS {
-        site.submit(number, 4.0 + number as f64 * 0.01, expect_s * (1.0 + number as f64 / JOBS as f64));
-        site.pass_time(200, 50);
+    let jobs = JOBS.max(fleet * 4 / TASKS);
+    for number in 0..jobs {
+        site.submit(number, 4.0 + number as f64 / JOBS as f64 * 0.8, expect_s * (1.0 + number as f64 / jobs as f64));
+        site.pass_time(if number < JOBS { 200 } else { 100 }, 50);
     }
     site.pass_time(20_000, 50);
     let running: usize = site.machines.iter().map(|m| m.tasks.len()).sum();
-    assert!(running as u64 >= MACHINES * 3, "the fleet is full: {running}");
+    assert!(running as u64 >= fleet * 3, "the fleet is full: {running}");
     site
 }
 
@@ -144,7 +150,7 @@
 /// that needed less had just found none: passes took a quarter of a busy leader's time.
 #[test]
 fn a_full_fleet_is_not_examined_for_every_waiting_job() {
-    let mut site = overloaded_site(500.0);
+    let mut site = overloaded_site(MACHINES, 500.0);
     let work = site.work_during(20_000, 50);
     assert!(work.passes > 5, "{work:?}");
     assert!(work.machines_examined <= work.passes * MACHINES * 3, "{work:?}");
@@ -153,10 +159,29 @@
 /// A leader whose batches begin late has no time for a pass with each of them.
 #[test]
 fn a_leader_short_of_time_leaves_more_between_passes() {
-    let mut site = overloaded_site(3.0);
+    let mut site = overloaded_site(MACHINES, 3.0);
     let tick = REPORT_MS / 60;
     let quick = site.work_during(20_000, tick / 2);
     let late = site.work_during(20_000, tick * 2);
     assert!(late.passes * 3 <= 20_000 / (tick * 2), "a pass with every third batch at most: {late:?} {quick:?}");
     assert!(late.passes >= 20, "it goes on placing: {late:?}");
 }
+
+/// What a pass examines, a round of renting and a report do not grow with the fleet, with fleet times queue and with
+/// fleet times reports. Each pass went through all machines for each stage with a deadline, for the order among
+/// jobs and for each job; and all machines were examined for slowness eight times a reporting interval.
+#[test]
+fn a_pass_over_a_full_fleet_does_not_grow_with_it() {
+    let mut small = overloaded_site(1_000, 500.0);
+    let mut large = overloaded_site(4_000, 500.0);
+    let (small, large) = (small.work_during(20_000, 50), large.work_during(20_000, 50));
+    assert!(small.passes > 5 && large.passes > 5, "{small:?} {large:?}");
+    // Once a round the fleet is gone through; all else is about machines with room.
+    let by_pass = |work: Work, fleet: u64| work.machines_examined.saturating_sub(work.rounds * fleet) / work.passes;
+    assert!(by_pass(large, 4_000) <= by_pass(small, 1_000) + 100, "{small:?} {large:?}");
+    for (work, fleet) in [(small, 1_000), (large, 4_000)] {
+        assert!(work.spaces_examined <= work.rounds * fleet * 3, "{work:?}");
+        // With each report once, or twice where a direct call brings one too.
+        assert!(work.speeds_examined <= fleet * 4 * 2 + fleet, "{work:?}");
+    }
+}
