--- a/crates/loopback/src/controllers.rs
+++ b/crates/loopback/src/controllers.rs
@@ -26,6 +26,8 @@
     pub system_s: f64,
     /// Resident memory in MiB.
     pub resident_mib: f64,
+    /// Open sockets.
+    pub sockets: usize,
 }
 
 impl Controller {
@@ -70,10 +72,20 @@
             user_s: ticks(14) / TICKS_PER_SECOND,
             system_s: ticks(15) / TICKS_PER_SECOND,
             resident_mib: kib.unwrap_or(0.0) / 1024.0,
+            sockets: open_sockets(id),
         }
     }
 }
 
+/// How many sockets a process has open.
+fn open_sockets(process: u32) -> usize {
+    let Ok(files) = std::fs::read_dir(format!("/proc/{process}/fd")) else { return 0 };
+    let is_socket = |file: &std::fs::DirEntry| {
+        std::fs::read_link(file.path()).is_ok_and(|target| target.to_string_lossy().starts_with("socket:"))
+    };
+    files.flatten().filter(is_socket).count()
+}
+
 impl Drop for Controller {
     fn drop(&mut self) {
         self.end();
--- a/crates/loopback/src/machines.rs
+++ b/crates/loopback/src/machines.rs
@@ -39,6 +39,16 @@
     pub counts: RefCell<Counts>,
     /// Tasks completed, by name.
     pub completed: RefCell<BTreeSet<String>>,
+    /// Machines without an answer since controllers were ended, and when that was.
+    pub unheard: RefCell<Unheard>,
+}
+
+/// Machines that have not had an answer from a controller since some were ended.
+#[derive(Debug, Default)]
+pub struct Unheard {
+    machines: BTreeSet<String>,
+    since: Option<Instant>,
+    all: BTreeSet<String>,
 }
 
 /// What happened to all machines together.
@@ -55,6 +65,26 @@
 }
 
 impl Fleet {
+    /// Controllers were ended just now: notes how long it takes until every machine has an answer again.
+    pub fn expect_all(&self) {
+        let mut unheard = self.unheard.borrow_mut();
+        unheard.machines = unheard.all.clone();
+        unheard.since = Some(Instant::now());
+    }
+
+    /// A machine's report was answered.
+    fn answered(&self, machine: &str) {
+        let mut unheard = self.unheard.borrow_mut();
+        if !unheard.all.contains(machine) {
+            unheard.all.insert(machine.into());
+        }
+        unheard.machines.remove(machine);
+        let Some(since) = unheard.since.filter(|_| unheard.machines.is_empty()) else { return };
+        unheard.since = None;
+        let (machines, seconds) = (unheard.all.len(), since.elapsed().as_secs_f64());
+        println!("        every one of {machines} machines has had an answer {seconds:.1} s after the end");
+    }
+
     fn now(&self) -> u64 {
         self.began.elapsed().as_millis() as u64
     }
@@ -105,6 +135,7 @@
         match outcome(&fleet, node, answer) {
             Outcome::Answered(reply) => {
                 fleet.counts.borrow_mut().reports += 1;
+                fleet.answered(&worker.borrow().id);
                 worker.borrow_mut().answer(fleet.now(), sent, reply, &fleet.jobs.borrow());
             }
             Outcome::Move { to, pause } => {
--- a/crates/loopback/src/main.rs
+++ b/crates/loopback/src/main.rs
@@ -55,9 +55,18 @@
     /// Length of the run, in seconds.
     #[arg(long, default_value_t = 60.0)]
     seconds: f64,
+    /// Sockets that a controller may have open.
+    #[arg(long, default_value_t = 4000)]
+    sockets: usize,
+    /// Memory that a controller may hold, in MiB.
+    #[arg(long, default_value_t = 85.0)]
+    mem_mb: f64,
     /// Times at which the controller that uses most is ended and started again, in seconds.
     #[arg(long, value_delimiter = ',')]
     end_leader_at: Vec<f64>,
+    /// Times at which all controllers are ended and started again, in seconds.
+    #[arg(long, value_delimiter = ',')]
+    end_all_at: Vec<f64>,
 }
 
 fn main() -> std::io::Result<()> {
@@ -86,6 +95,7 @@
         began,
         counts: RefCell::default(),
         completed: RefCell::default(),
+        unheard: RefCell::default(),
     });
     start_machines(&fleet, &cloud, &arguments).await?;
     drop(reserved);
@@ -112,7 +122,10 @@
 async fn watch(arguments: &Arguments, fleet: &Fleet, controllers: &mut [Controller]) -> std::io::Result<()> {
     let began = Instant::now();
     let mut ends = arguments.end_leader_at.clone();
-    ends.sort_by(|left, right| right.total_cmp(left));
+    let mut ends_of_all = arguments.end_all_at.clone();
+    for times in [&mut ends, &mut ends_of_all] {
+        times.sort_by(|left, right| right.total_cmp(left));
+    }
     let mut before: Vec<Usage> = controllers.iter().map(Controller::usage).collect();
     let mut counted = *fleet.counts.borrow();
     while began.elapsed().as_secs_f64() < arguments.seconds {
@@ -127,9 +140,18 @@
             let busiest = (0..controllers.len()).max_by(|left, right| used(left).total_cmp(&used(right)));
             if let Some(controller) = busiest.and_then(|i| controllers.get_mut(i)) {
                 controller.restart()?;
+                fleet.expect_all();
                 println!("{elapsed:5.0} s: {} ended and started again, process {}", controller.label, controller.id());
             }
         }
+        if ends_of_all.last().is_some_and(|at| elapsed >= *at) {
+            ends_of_all.pop();
+            for controller in controllers.iter_mut() {
+                controller.restart()?;
+            }
+            fleet.expect_all();
+            println!("{elapsed:5.0} s: all controllers ended and started again");
+        }
         before = controllers.iter().map(Controller::usage).collect();
         counted = counts;
     }
@@ -140,11 +162,12 @@
     let per_second = |before: f64, after: f64| (after - before) / LINE.as_secs_f64();
     let of = |(controller, (before, after)): (&Controller, (&Usage, &Usage))| {
         format!(
-            "{} {:.1}+{:.1} ms/s {:.0} MiB",
+            "{} {:.1}+{:.1} ms/s {:.0} MiB {} sockets",
             controller.label,
             per_second(before.user_s, after.user_s) * 1000.0,
             per_second(before.system_s, after.system_s) * 1000.0,
             after.resident_mib,
+            after.sockets,
         )
     };
     let nodes: Vec<String> = controllers.iter().zip(usage.0.iter().zip(usage.1)).map(of).collect();
@@ -256,7 +279,9 @@
          [params.workers]\nreport_s = {report:?}\nlease_s = {lease:?}\ncancel_s = {cancel:?}\n\
          [params.state]\nrps = 200.0\nwrite_rps = 80.0\nvalue_kb = 16.0\ntxn_ops = 24\n\
          [params.cloud]\nrps = 5.0\nlist_lag_s = 3.0\n\
-         [params.resources]\ncore_share = 0.06\nmem_mb = 85.0\nfd_limit = 4000\n",
+         [params.resources]\ncore_share = 0.06\nmem_mb = {mem_mb:?}\nfd_limit = {sockets}\n",
+        mem_mb = arguments.mem_mb,
+        sockets = arguments.sockets,
         label = node.label,
         zone = node.zone,
         front = node.front,
