--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -24,7 +24,13 @@
     /// Run a controller until it is stopped.
     Serve(Files),
     /// Check the settings and print what is wrong, field by field.
-    Check(Files),
+    Check {
+        #[command(flatten)]
+        files: Files,
+        /// Warn of settings that are too small for so many machines.
+        #[arg(long, value_name = "NUMBER")]
+        machines: Option<u32>,
+    },
 }
 
 #[derive(clap::Args)]
@@ -39,9 +45,9 @@
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
-    let (files, serve) = match cli.command {
-        Verb::Serve(files) => (files, true),
-        Verb::Check(files) => (files, false),
+    let (files, serve, machines) = match cli.command {
+        Verb::Serve(files) => (files, true, None),
+        Verb::Check { files, machines } => (files, false, machines),
     };
     let loaded = match settings::load(&files.config, files.properties.as_deref()) {
         Ok(loaded) => loaded,
@@ -57,6 +63,9 @@
         }
     };
     if !serve {
+        for warning in machines.iter().flat_map(|n| shaleshunt_core::capacity::too_small(&loaded.settings, *n)) {
+            println!("warning: {warning}");
+        }
         println!("settings are fine: node {}, {} peers", loaded.settings.label, loaded.wiring.peers.len());
         return ExitCode::SUCCESS;
     }
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -115,10 +115,24 @@
 
 #[derive(Deserialize)]
 struct Resources {
+    #[serde(default = "whole_core")]
+    core_share: f64,
     mem_mb: f64,
     fd_limit: usize,
 }
 
+fn whole_core() -> f64 {
+    1.0
+}
+
+/// Longest time that a setting may name, in seconds, and other upper bounds.
+const MOST_SECONDS: f64 = 86_400.0;
+const MOST_PER_SECOND: f64 = 1e6;
+const MOST_VALUE_KB: f64 = 65_536.0;
+const MOST_TXN_OPS: usize = 100_000;
+const MOST_MEM_MB: f64 = 1e6;
+const MOST_SOCKETS: usize = 10_000_000;
+
 /// Reads both files; all that is wrong, one line a field.
 pub fn load(config: &Path, properties: Option<&Path>) -> Result<Loaded, Vec<String>> {
     let text = std::fs::read_to_string(config).map_err(|e| vec![format!("{}: {e}", config.display())])?;
@@ -184,34 +198,38 @@
         check(seed.label != file.label, "seeds", "must not name this node");
     }
     let positive = |x: f64| x.is_finite() && x > 0.0;
-    for (x, field) in [
-        (p.workers.report_s, "params.workers.report_s"),
-        (p.workers.lease_s, "params.workers.lease_s"),
-        (p.workers.cancel_s, "params.workers.cancel_s"),
-        (p.state.rps, "params.state.rps"),
-        (p.state.write_rps, "params.state.write_rps"),
-        (p.state.value_kb, "params.state.value_kb"),
-        (p.cloud.rps, "params.cloud.rps"),
-        (p.resources.mem_mb, "params.resources.mem_mb"),
+    for (x, most, field) in [
+        (p.workers.report_s, MOST_SECONDS, "params.workers.report_s"),
+        (p.workers.lease_s, MOST_SECONDS, "params.workers.lease_s"),
+        (p.workers.cancel_s, MOST_SECONDS, "params.workers.cancel_s"),
+        (p.state.rps, MOST_PER_SECOND, "params.state.rps"),
+        (p.state.write_rps, MOST_PER_SECOND, "params.state.write_rps"),
+        (p.state.value_kb, MOST_VALUE_KB, "params.state.value_kb"),
+        (p.cloud.rps, MOST_PER_SECOND, "params.cloud.rps"),
+        (p.resources.mem_mb, MOST_MEM_MB, "params.resources.mem_mb"),
+        (p.resources.core_share, 1024.0, "params.resources.core_share"),
     ] {
         check(positive(x), field, "must be a positive number");
+        check(!positive(x) || x <= most, field, &format!("must be at most {most}"));
     }
     check(p.workers.lease_s > p.workers.report_s, "params.workers.lease_s", "must be longer than report_s");
     check(p.workers.cancel_s > p.workers.lease_s, "params.workers.cancel_s", "must be longer than lease_s");
     // The leader's ends take three writes; a job's record without long lists takes less than 1 KiB.
-    check(p.state.txn_ops > 2, "params.state.txn_ops", "must be at least 3");
+    let ops = 3..=MOST_TXN_OPS;
+    check(ops.contains(&p.state.txn_ops), "params.state.txn_ops", &format!("must be from 3 to {MOST_TXN_OPS}"));
     check(p.state.value_kb >= 1.0, "params.state.value_kb", "must be at least 1");
     if let Some(n) = &p.state.next {
-        check(n.write_rps.is_none_or(positive), "params.state.next.write_rps", "must be a positive number");
-        check(n.value_kb.is_none_or(|x| x.is_finite() && x >= 1.0), "params.state.next.value_kb", "must be at least 1");
-        check(n.txn_ops.is_none_or(|n| n > 2), "params.state.next.txn_ops", "must be at least 3");
+        let rate = n.write_rps.is_none_or(|x| positive(x) && x <= MOST_PER_SECOND);
+        check(rate, "params.state.next.write_rps", &format!("must be a positive number up to {MOST_PER_SECOND}"));
+        let value = n.value_kb.is_none_or(|x| (1.0..=MOST_VALUE_KB).contains(&x));
+        check(value, "params.state.next.value_kb", &format!("must be from 1 to {MOST_VALUE_KB}"));
+        let most = format!("must be from 3 to {MOST_TXN_OPS}");
+        check(n.txn_ops.is_none_or(|n| ops.contains(&n)), "params.state.next.txn_ops", &most);
     }
-    check(
-        p.cloud.list_lag_s.is_finite() && p.cloud.list_lag_s >= 0.0,
-        "params.cloud.list_lag_s",
-        "must not be negative",
-    );
-    check(p.resources.fd_limit >= 64, "params.resources.fd_limit", "must be at least 64");
+    let lag = (0.0..=MOST_SECONDS).contains(&p.cloud.list_lag_s);
+    check(lag, "params.cloud.list_lag_s", &format!("must be from 0 to {MOST_SECONDS}"));
+    let sockets = (64..=MOST_SOCKETS).contains(&p.resources.fd_limit);
+    check(sockets, "params.resources.fd_limit", &format!("must be from 64 to {MOST_SOCKETS}"));
     let mut teams = BTreeMap::new();
     for t in &p.teams {
         let fine = [t.cpus, t.cpus_max, t.gpus, t.gpus_max].iter().all(|x| x.is_finite() && (0.0..1e9).contains(x));
@@ -256,6 +274,8 @@
         cloud_rps: p.cloud.rps,
         list_lag_s: p.cloud.list_lag_s,
         mem_mb: p.resources.mem_mb,
+        core_share: p.resources.core_share,
+        sockets: p.resources.fd_limit,
     };
     let wiring = Wiring {
         front: file.front,
--- a/crates/cli/src/settings/tests.rs
+++ b/crates/cli/src/settings/tests.rs
@@ -41,6 +41,18 @@
     let problems = parse(&bad).unwrap_err();
     assert!(problems.iter().any(|p| p.starts_with("params.state.next.write_rps")), "{problems:?}");
     assert!(problems.iter().any(|p| p.starts_with("params.state.next.txn_ops")), "{problems:?}");
+    for (good_line, absurd, field) in [
+        ("report_s = 3.0", "report_s = 1e9", "params.workers.report_s"),
+        ("core_share = 1.0", "core_share = 0.0", "params.resources.core_share"),
+        ("mem_mb = 256.0", "mem_mb = 1e300", "params.resources.mem_mb"),
+        ("fd_limit = 3000", "fd_limit = 90000000000", "params.resources.fd_limit"),
+        ("txn_ops = 24", "txn_ops = 1000000000", "params.state.txn_ops"),
+        ("list_lag_s = 3.0", "list_lag_s = -1.0", "params.cloud.list_lag_s"),
+    ] {
+        assert!(good.contains(good_line), "{good_line}");
+        let problems = parse(&good.replace(good_line, absurd)).unwrap_err();
+        assert!(problems.iter().any(|p| p.starts_with(field)), "{problems:?}");
+    }
     assert!(parse("label = ").is_err());
     assert!(parse(&good.replace("report_s = 3.0", "")).unwrap_err()[0].contains("report_s"));
 }
--- /dev/null
+++ b/crates/core/src/capacity.rs
@@ -0,0 +1,66 @@
+//! What a controller needs for a fleet, against what its settings grant: for warnings, not for limits.
+//!
+//! The needs were measured with the real program and stand-in machines on loopback at 4,000 machines
+//! (`docs/limits.md`), with a margin.
+
+use crate::settings::Settings;
+use shaleshunt_wire::cloud::Catalog;
+use std::fmt;
+
+/// Share of a core for one report a second, with the work that follows from it.
+const CORE_PER_REPORT: f64 = 0.16e-3;
+/// Memory without any machine, in MiB.
+const BASE_MIB: f64 = 10.0;
+/// Memory for a machine with its connection and its part of the jobs, in MiB.
+const MIB_PER_MACHINE: f64 = 25.0 / 1024.0;
+/// Sockets without any machine.
+const BASE_SOCKETS: f64 = 64.0;
+/// Sockets for a machine: more machines than connections take turns.
+const SOCKETS_PER_MACHINE: f64 = 0.25;
+
+/// A setting that grants less than a fleet needs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct TooSmall {
+    /// The setting.
+    pub field: &'static str,
+    /// What it grants.
+    pub value: f64,
+    /// The least that is enough.
+    pub least: f64,
+    /// For so many machines.
+    pub machines: u32,
+}
+
+impl fmt::Display for TooSmall {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let TooSmall { field, value, least, machines } = self;
+        write!(f, "{field}: {value} is little for {machines} machines, which need {least:.3} at least")
+    }
+}
+
+/// Which settings grant less than so many machines need.
+pub fn too_small(settings: &Settings, machines: u32) -> Vec<TooSmall> {
+    let fleet = f64::from(machines);
+    let needs = [
+        ("params.resources.core_share", settings.core_share, fleet / settings.report_s * CORE_PER_REPORT),
+        ("params.resources.mem_mb", settings.mem_mb, BASE_MIB + fleet * MIB_PER_MACHINE),
+        ("params.resources.fd_limit", settings.sockets as f64, BASE_SOCKETS + fleet * SOCKETS_PER_MACHINE),
+    ];
+    let small = needs.into_iter().filter(|(_, value, least)| value < least);
+    small.map(|(field, value, least)| TooSmall { field, value, least, machines }).collect()
+}
+
+/// The most machines that the teams' limits allow, of the smallest type in the catalog; `None` if a team has no
+/// limit or no type is known.
+pub fn most_machines(settings: &Settings, catalog: &Catalog) -> Option<u32> {
+    let smallest = catalog.frames.iter().map(|frame| frame.room().cores).filter(|cores| *cores > 0).min()?;
+    let limits: Vec<i64> = settings.teams.values().map(|team| team.limit.0).collect();
+    if limits.is_empty() || limits.contains(&0) {
+        return None;
+    }
+    let cores: i64 = limits.iter().sum();
+    u32::try_from((cores + smallest - 1) / smallest).ok()
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -170,6 +170,8 @@
     pub(crate) hires: BTreeMap<String, HireState>,
     pub(crate) hire_count: u64,
     pub(crate) owned: Option<BTreeSet<String>>,
+    /// The settings were compared with what the fleet needs.
+    pub(crate) capacity_checked: bool,
     /// Versions of the keys that hold them, and the parts to be written.
     pub(crate) owned_versions: BTreeMap<String, u64>,
     pub(crate) owned_dirty: BTreeMap<u32, Vec<String>>,
@@ -263,6 +265,7 @@
             hires: BTreeMap::new(),
             hire_count: 0,
             owned: None,
+            capacity_checked: false,
             owned_versions: BTreeMap::new(),
             owned_dirty: BTreeMap::new(),
             owned_parts: BTreeSet::new(),
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //!   about tasks on `pages`; `floor` talks to workers; `queue` orders jobs, `place` chooses machines,
 //!   `preemption` makes room on them, `send_out` sends jobs to rented ones; `rent` talks to the cloud.
 
+pub mod capacity;
 pub mod io;
 pub mod model;
 pub mod node;
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -1,5 +1,6 @@
 //! The cloud: its list, hires and returns.
 
+use crate::capacity;
 use crate::io::*;
 use crate::leader::{HireState, LeadWait, Leader};
 use crate::model::*;
@@ -157,6 +158,7 @@
             self.owned_dirty = (0..).zip(parts.into_iter().map(|(_, part)| part)).collect();
             self.owned = Some(owned);
         }
+        self.warn_if_too_small(ctx);
         for x in list {
             let id: Id = x.id.as_str().into();
             let owned = self.owned.as_ref().is_some_and(|o| o.contains(&x.id));
@@ -180,6 +182,19 @@
         }
     }
 
+    /// Names, once, the settings that are too small for the machines owned and the most that the teams' limits
+    /// allow.
+    fn warn_if_too_small(&mut self, ctx: &mut Ctx) {
+        let (Some(owned), Some(catalog)) = (&self.owned, &ctx.catalog) else { return };
+        if std::mem::replace(&mut self.capacity_checked, true) {
+            return;
+        }
+        let most = capacity::most_machines(&ctx.set, catalog).unwrap_or(0);
+        for warning in capacity::too_small(&ctx.set, most.max(owned.len() as u32)) {
+            ctx.log(Severity::Info, format!("warning: {warning}"));
+        }
+    }
+
     /// Asks for hires that are recorded; the same name until there is an answer.
     fn ask_hires(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -105,6 +105,10 @@
     pub list_lag_s: f64,
     /// Memory limit.
     pub mem_mb: f64,
+    /// Share of a core.
+    pub core_share: f64,
+    /// Most open sockets.
+    pub sockets: usize,
 }
 
 macro_rules! tuning {
--- a/crates/testkit/src/scenario.rs
+++ b/crates/testkit/src/scenario.rs
@@ -228,6 +228,8 @@
             cloud_rps: 5.0,
             list_lag_s: 3.0,
             mem_mb: 128.0,
+            core_share: 1.0,
+            sockets: 3000,
         }
     }
 
--- a/crates/testkit/tests/floods.rs
+++ b/crates/testkit/tests/floods.rs
@@ -24,6 +24,7 @@
         cloud_rps: 6.0,
         list_lag_s: 3.0,
         mem_mb: 158.0,
+        ..Settings::default()
     };
     Node::new(settings, Tuning::default(), at(1), 1)
 }
