A gap between waves of reports is no cut: silence counts when reports are overdue

Cause: machines that came at once, or whose tasks ended at once, report in waves; the gap between two was taken for a zone's cut, or made a leader in a cut zone step down before its term was over, which cost its machines their leases. Change: a zone is silent, or a leader unheard, only if as many reports are overdue as would show it (8, or all); the owned machines are listed without pauses.

--- a/crates/core/src/floor.rs
+++ b/crates/core/src/floor.rs
@@ -16,6 +16,13 @@
 /// A task that has run for so many times what its job's tasks usually take overruns.
 const OVERRUN: f64 = 1.5;
 
+/// So many overdue reports of a zone show that it is cut off, or those of all its machines if it has fewer.
+const MISSED_REPORTS: usize = 8;
+
+/// A report comes at the latest so many hundredths of the interval after the one before: a quarter late, and some
+/// time on its way.
+const LATEST_REPORT: u64 = 130;
+
 /// A machine is slow if at least so many of its tasks overrun, and a third of them.
 const LEAST_OVERRUNS: usize = 3;
 
@@ -518,7 +525,7 @@
         }
     }
 
-    /// A zone from which nobody reports while others do is cut off: nothing new goes there. Where
+    /// A zone from which nobody reports while others do, though reports are due, is cut off: nothing new goes there. Where
     /// many machines report, that shows long before any one of them is overdue.
     pub(crate) fn watch_zones(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
@@ -532,7 +539,8 @@
             let patience = (report / 2).max(report * 8 / u64::from(all.max(1)));
             // Machines that hang on to a lost leader need a while to come.
             let heard = newest.max(self.took_at + report * 2);
-            if !self.machines.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience {
+            let long = !self.machines.is_empty() && !ctx.keepers.is_empty() && now.saturating_sub(heard) > patience;
+            if long && self.misses_reports(ctx, None, all) {
                 self.down = Some(StepDown::Unheard);
             }
             return;
@@ -540,7 +548,7 @@
         let silent: BTreeSet<String> = self
             .zones_heard
             .iter()
-            .filter(|(_, (at, n))| now.saturating_sub(*at) > gap(*n))
+            .filter(|(zone, (at, n))| now.saturating_sub(*at) > gap(*n) && self.misses_reports(ctx, Some(zone), *n))
             .map(|(z, _)| z.clone())
             .collect();
         if silent == self.zones_cut {
@@ -560,6 +568,17 @@
         self.replan = true;
     }
 
+    /// Whether reports are missing from a zone, or from all, with so many machines: enough of them are overdue.
+    /// Where all came at once, or tasks end together, reports come in waves: between two nobody's is due.
+    fn misses_reports(&self, ctx: &Ctx, zone: Option<&str>, machines: u32) -> bool {
+        let (now, report) = (ctx.now.mono, ctx.set.report_ms());
+        // A machine known from records has two reporting intervals after a takeover to be heard.
+        let last = |m: &Machine| m.heard.or((m.session > 0).then_some(self.took_at + report));
+        let overdue = |m: &&Machine| last(m).is_some_and(|at| now.saturating_sub(at) > report * LATEST_REPORT / 100);
+        let here = self.machines.values().filter(|m| zone.is_none_or(|zone| m.zone == zone));
+        here.filter(overdue).take(MISSED_REPORTS).count() >= MISSED_REPORTS.min(machines as usize)
+    }
+
     /// A machine that is going away: what cannot finish in time is stopped, to go on elsewhere.
     fn drain(&mut self, ctx: &Ctx, machine: &Id) {
         let now = ctx.now.mono;
@@ -618,8 +637,7 @@
     /// overdue at once it is the network, or us.
     pub(crate) fn ask_overdue(&mut self, ctx: &mut Ctx) {
         let now = ctx.now.mono;
-        // Reports come a quarter of an interval late at most.
-        let late = ctx.set.report_ms() * 13 / 10;
+        let late = ctx.set.report_ms() * LATEST_REPORT / 100;
         let overdue = |m: &&Machine| m.heard.is_some_and(|h| now.saturating_sub(h) > late) && !m.leaving && !m.cut;
         let all: Vec<Id> = self.machines.values().filter(overdue).map(|m| m.id.clone()).collect();
         self.few_overdue = all.len() <= (self.machines.len() / 50).max(2);
--- a/crates/core/src/rent.rs
+++ b/crates/core/src/rent.rs
@@ -70,8 +70,9 @@
                 self.list_seen.extend(page.machines);
                 let shared = 1000.0 / (ctx.set.cloud_rps * LIST_SHARE);
                 if more {
-                    // A few pages come at once; of a longer list the rest leaves room for hires.
-                    let many = f64::from(self.list_pages) >= ctx.set.cloud_rps * LIST_AT_ONCE;
+                    // A few pages come at once; of a longer list the rest leaves room for hires. There are none
+                    // before it is known which machines are owned.
+                    let many = self.owned.is_some() && f64::from(self.list_pages) >= ctx.set.cloud_rps * LIST_AT_ONCE;
                     self.list_at = now + if many { shared as u64 } else { 0 };
                 } else {
                     let pages = f64::from(std::mem::take(&mut self.list_pages));
