floor.rs in four modules with one job each; floor.* keys are machine.* now, old ones still read

Need: a large file under a metaphor, and property keys under the same. Change: reports, orders, silence, failing; the old keys are read with a warning that names the new one, both together are refused.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -63,6 +63,9 @@
         }
     };
     if !serve {
+        for warning in &loaded.warnings {
+            println!("warning: {warning}");
+        }
         for warning in machines.iter().flat_map(|n| shaleshunt_core::capacity::too_small(&loaded.settings, *n)) {
             println!("warning: {warning}");
         }
@@ -81,6 +84,9 @@
         .without_time()
         .with_target(false)
         .init();
+    for warning in &loaded.warnings {
+        tracing::info!("{}: warning: {warning}", loaded.settings.label);
+    }
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
--- a/crates/cli/src/settings.rs
+++ b/crates/cli/src/settings.rs
@@ -1,7 +1,7 @@
 //! Reads and checks the platform's settings and the operators' properties.
 
 use serde::Deserialize;
-use shaleshunt_core::settings::{Aim, Limits, Settings, Team, Tuning};
+use shaleshunt_core::settings::{Aim, Limits, Settings, Team, Tuning, renamed_key};
 use shaleshunt_net::Wiring;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -16,6 +16,19 @@
     pub tuning: Tuning,
     /// Addresses.
     pub wiring: Wiring,
+    /// What an operator should change, though it works.
+    pub warnings: Vec<String>,
+}
+
+/// Operators' properties as they were read.
+#[derive(Debug, Default)]
+pub struct Properties {
+    /// The values.
+    pub tuning: Tuning,
+    /// What is wrong, one line a key.
+    pub problems: Vec<String>,
+    /// What an operator should change, though it works.
+    pub warnings: Vec<String>,
 }
 
 #[derive(Deserialize)]
@@ -136,19 +149,15 @@
 /// Reads both files; all that is wrong, one line a field.
 pub fn load(config: &Path, properties: Option<&Path>) -> Result<Loaded, Vec<String>> {
     let text = std::fs::read_to_string(config).map_err(|e| vec![format!("{}: {e}", config.display())])?;
-    let mut problems = Vec::new();
-    let tuning = match properties {
-        None => Tuning::default(),
+    let Properties { tuning, mut problems, warnings } = match properties {
+        None => Properties::default(),
         Some(path) => match std::fs::read(path) {
-            Err(e) => {
-                problems.push(format!("{}: {e}", path.display()));
-                Tuning::default()
-            }
-            Ok(bytes) => parse_properties(&bytes, &mut problems),
+            Err(e) => Properties { problems: vec![format!("{}: {e}", path.display())], ..Properties::default() },
+            Ok(bytes) => parse_properties(&bytes),
         },
     };
     match parse(&text) {
-        Ok((settings, wiring)) if problems.is_empty() => Ok(Loaded { settings, tuning, wiring }),
+        Ok((settings, wiring)) if problems.is_empty() => Ok(Loaded { settings, tuning, wiring, warnings }),
         Ok(_) => Err(problems),
         Err(more) => {
             problems.extend(more);
@@ -158,20 +167,29 @@
 }
 
 /// Reads operators' properties.
-pub fn parse_properties(bytes: &[u8], problems: &mut Vec<String>) -> Tuning {
-    let mut tuning = Tuning::default();
-    match java_properties::read(bytes) {
-        Err(e) => problems.push(format!("properties: {e}")),
-        Ok(map) => {
-            let sorted: BTreeMap<String, String> = map.into_iter().collect();
-            for (key, value) in sorted {
-                if let Err(problem) = tuning.set(&key, &value) {
-                    problems.push(problem);
-                }
+pub fn parse_properties(bytes: &[u8]) -> Properties {
+    let mut read = Properties::default();
+    let map = match java_properties::read(bytes) {
+        Ok(map) => map,
+        Err(e) => {
+            read.problems.push(format!("properties: {e}"));
+            return read;
+        }
+    };
+    let sorted: BTreeMap<String, String> = map.into_iter().collect();
+    for (key, value) in &sorted {
+        if let Some(new) = renamed_key(key) {
+            if sorted.contains_key(new) {
+                read.problems.push(format!("{key}: is called {new} now, which is given too"));
+                continue;
             }
+            read.warnings.push(format!("{key}: is called {new} now"));
+        }
+        if let Err(problem) = read.tuning.set(key, value) {
+            read.problems.push(problem);
         }
     }
-    tuning
+    read
 }
 
 /// Reads the platform's settings.
--- a/crates/cli/src/settings/tests.rs
+++ b/crates/cli/src/settings/tests.rs
@@ -7,9 +7,9 @@
 #[test]
 fn sample_properties_list_every_key_with_its_default() {
     let bytes = std::fs::read(repo("deploy/shaleshunt.properties")).unwrap();
-    let mut problems = Vec::new();
-    assert_eq!(parse_properties(&bytes, &mut problems), Tuning::default());
-    assert!(problems.is_empty(), "{problems:?}");
+    let Properties { tuning, problems, warnings } = parse_properties(&bytes);
+    assert_eq!(tuning, Tuning::default());
+    assert!(problems.is_empty() && warnings.is_empty(), "{problems:?} {warnings:?}");
     let keys: std::collections::BTreeSet<String> = java_properties::read(&bytes[..]).unwrap().into_keys().collect();
     let known = Tuning::default().entries().into_iter().map(|e| e.0.to_string()).collect();
     assert_eq!(keys, known);
@@ -17,12 +17,24 @@
 
 #[test]
 fn properties_that_are_wrong_are_named() {
-    let mut problems = Vec::new();
-    parse_properties(b"rent.round-s=NaN\nno.such=1\nrent.idle-s=-3\nrent.plain-wait-s = 5\n", &mut problems);
+    let text = b"rent.round-s=NaN\nno.such=1\nrent.idle-s=-3\nrent.plain-wait-s = 5\n";
+    let problems = parse_properties(text).problems;
     assert_eq!(problems.len(), 3, "{problems:?}");
     assert!(problems.iter().any(|p| p.starts_with("no.such")));
 }
 
+#[test]
+fn keys_of_earlier_versions_are_read_and_named() {
+    let Properties { tuning, problems, warnings } = parse_properties(b"floor.sick-s=7\n");
+    assert!(problems.is_empty(), "{problems:?}");
+    assert_eq!(tuning, Tuning { sick_s: 7.0, ..Tuning::default() });
+    assert_eq!(warnings, ["floor.sick-s: is called machine.sick-s now"]);
+    let both = parse_properties(b"floor.sick-s=7\nmachine.sick-s=8\n");
+    assert_eq!(both.problems.len(), 1, "{:?}", both.problems);
+    let beyond = parse_properties(b"floor.sick-s=0\n");
+    assert!(beyond.problems[0].starts_with("machine.sick-s: must be from"), "{:?}", beyond.problems);
+}
+
 #[test]
 fn settings_are_checked_field_by_field() {
     let good = std::fs::read_to_string(repo("examples/settings.toml")).unwrap();
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -164,7 +164,7 @@
     /// Zones from which nobody reports.
     pub(crate) zones_cut: BTreeSet<String>,
     pub(crate) plan_at: u64,
-    floor_at: u64,
+    silence_at: u64,
     told_at: u64,
     pub(crate) written: Written,
     pub(crate) hires: BTreeMap<String, HireState>,
@@ -259,7 +259,7 @@
             few_overdue: false,
             zones_cut: BTreeSet::new(),
             plan_at: now,
-            floor_at: now,
+            silence_at: now,
             told_at: now,
             written: Written::default(),
             hires: BTreeMap::new(),
@@ -734,9 +734,9 @@
         if self.watch_at.is_some_and(|t| now >= t) {
             self.watch(ctx);
         }
-        if now >= self.floor_at {
-            self.floor_at = now + ctx.set.report_ms() / 8;
-            self.watch_floor(ctx);
+        if now >= self.silence_at {
+            self.silence_at = now + ctx.set.report_ms() / 8;
+            self.watch_silence(ctx);
             self.ask_overdue(ctx);
         }
         if now >= self.told_at {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,7 +5,8 @@
 //!   scheduler.
 //! - `awaits` lets jobs wait for others; `parts` keeps submissions that take more than a value; `limits` follows what the state service grants.
 //! - `leader` keeps what only the leader knows; `commit` writes it to the state service, the facts
-//!   about tasks on `pages`; `floor` talks to workers; `queue` orders jobs, `place` chooses machines,
+//!   about tasks on `pages`; `reports` takes in what machines say, `orders` tells them what
+//!   to do, `silence` and `failing` watch them, `fleet` keeps them; `queue` orders jobs, `place` chooses machines,
 //!   `preemption` makes room on them, `send_out` sends jobs to rented ones; `rent` talks to the cloud.
 
 pub mod capacity;
@@ -17,18 +18,21 @@
 
 mod awaits;
 mod commit;
+mod failing;
 mod fleet;
-mod floor;
 mod front;
 mod leader;
 mod limits;
+mod orders;
 mod pages;
 mod parts;
 mod place;
 mod preemption;
 mod queue;
 mod rent;
+mod reports;
 mod send_out;
+mod silence;
 mod step_down;
 
 pub use io::{Batch, Command, Effect, IoError, Now, Severity, StateReply, StateRequest};
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -111,6 +111,15 @@
     pub sockets: usize,
 }
 
+/// Keys of earlier versions with their names of today. They are still read.
+const RENAMED: [(&str, &str); 2] =
+    [("floor.silent-reports", "machine.silent-reports"), ("floor.sick-s", "machine.sick-s")];
+
+/// The name of today of a key that has been renamed.
+pub fn renamed_key(key: &str) -> Option<&'static str> {
+    RENAMED.iter().find(|(old, _)| *old == key).map(|(_, new)| *new)
+}
+
 macro_rules! tuning {
     ($($(#[doc = $doc:literal])* $field:ident = $key:literal : $default:expr, $low:expr, $high:expr;)*) => {
         /// The operators' own settings. Every one has a default; `deploy/shaleshunt.properties` lists them.
@@ -124,6 +133,7 @@
             pub fn entries(&self) -> Vec<(&'static str, f64, f64, f64)> { vec![$(($key, self.$field, $low, $high),)*] }
             /// Sets a key; says what is wrong with it otherwise.
             pub fn set(&mut self, key: &str, value: &str) -> Result<(), String> {
+                let key = renamed_key(key).unwrap_or(key);
                 let number: f64 = value.trim().parse().map_err(|_| format!("{key}: not a number: {value}"))?;
                 match key {
                     $($key => {
@@ -173,9 +183,9 @@
     /// Share of the state service's request rate that the leader's transactions use.
     request_share = "state.request-share": 0.2, 0.01, 1.0;
     /// A rented machine silent for so many reporting intervals is returned.
-    silent_reports = "floor.silent-reports": 3.0, 2.0, 100.0;
+    silent_reports = "machine.silent-reports": 3.0, 2.0, 100.0;
     /// A machine that failed is tried again after this time, doubled each time.
-    sick_s = "floor.sick-s": 45.0, 1.0, 3600.0;
+    sick_s = "machine.sick-s": 45.0, 1.0, 3600.0;
 }
 
 impl Settings {
