--- a/crates/core/src/fleet.rs
+++ b/crates/core/src/fleet.rs
@@ -131,3 +131,6 @@
         kept == self.machines.len() && self.machines.values().all(found)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/leader.rs
+++ b/crates/core/src/leader.rs
@@ -813,47 +813,8 @@
 
     pub(crate) fn new_machine(&self, ctx: &Ctx, id: &Id, frame: &str, zone: &str, spot: bool, owned: bool) -> Machine {
         let room = ctx.catalog.as_ref().and_then(|c| c.frame(frame)).map(|f| f.room()).unwrap_or_default();
-        Machine {
-            id: id.clone(),
-            frame: frame.into(),
-            zone: zone.into(),
-            spot,
-            owned,
-            endpoint: String::new(),
-            session: 0,
-            hired: ctx.now.wall,
-            room,
-            used: Room::default(),
-            places: Vec::new(),
-            images: Vec::new(),
-            block: None,
-            recorded: false,
-            heard: None,
-            ours: false,
-            last: (0, 0),
-            bump: 0,
-            answer_open: false,
-            deaf: 0,
-            cut: false,
-            call: None,
-            call_runs: Vec::new(),
-            call_after: 0,
-            confirms: false,
-            risky: false,
-            push: false,
-            warned: None,
-            strangers: Vec::new(),
-            leaving: false,
-            returning: false,
-            listed: false,
-            failures: Vec::new(),
-            sick_until: 0,
-            failed_at: 0,
-            sick_times: 0,
-            needed_at: 0,
-            idle_since: ctx.now.mono,
-            slow_until: 0,
-        }
+        let (frame, zone) = (frame.to_string(), zone.to_string());
+        Machine { frame, zone, spot, owned, room, ..Machine::new(id.clone(), ctx.now) }
     }
 
     /// Puts a placement on a machine and counts it everywhere.
--- a/crates/core/src/model.rs
+++ b/crates/core/src/model.rs
@@ -1,5 +1,6 @@
 //! Jobs, machines and placements, and their records in the state service.
 
+use crate::io::Now;
 use crate::settings::Settings;
 use serde::{Deserialize, Serialize};
 use shaleshunt_wire::Room;
@@ -515,6 +516,50 @@
 }
 
 impl Machine {
+    /// A machine of which nothing is known yet.
+    pub fn new(id: Id, now: Now) -> Machine {
+        Machine {
+            id,
+            frame: String::new(),
+            zone: String::new(),
+            spot: false,
+            owned: false,
+            endpoint: String::new(),
+            session: 0,
+            hired: now.wall,
+            room: Room::default(),
+            used: Room::default(),
+            places: Vec::new(),
+            images: Vec::new(),
+            block: None,
+            recorded: false,
+            heard: None,
+            ours: false,
+            last: (0, 0),
+            bump: 0,
+            answer_open: false,
+            deaf: 0,
+            cut: false,
+            call: None,
+            call_runs: Vec::new(),
+            call_after: 0,
+            confirms: false,
+            risky: false,
+            push: false,
+            warned: None,
+            strangers: Vec::new(),
+            leaving: false,
+            returning: false,
+            listed: false,
+            failures: Vec::new(),
+            sick_until: 0,
+            failed_at: 0,
+            sick_times: 0,
+            needed_at: 0,
+            idle_since: now.mono,
+            slow_until: 0,
+        }
+    }
     /// Whether it answers and may get tasks.
     pub fn usable(&self, now: u64, set: &Settings) -> bool {
         self.recorded
