--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -71,6 +71,18 @@
         /// Common prefix of the parts' keys.
         prefix: String,
     },
+    /// Recovery found parts of a submission, and no record of a job that refers to them. They are to be removed.
+    SubmissionPartsUnreferenced {
+        /// Common prefix of the parts' keys.
+        prefix: String,
+    },
+    /// The first part of a submission is removed: the other parts follow, and no job can be created from them any more.
+    SubmissionPartsRemoved {
+        /// Common prefix of the parts' keys.
+        prefix: String,
+        /// Whether the leader knew an unfinished job of that name at the time.
+        job_known: bool,
+    },
     /// A submission was committed and its acceptance reported to the user.
     JobAccepted {
         /// Identifier of the job.
@@ -201,7 +213,7 @@
 
 impl Event {
     /// Names of all events, in the order of the variants. `docs/operations.md` has an entry for each.
-    pub const NAMES: [&str; 31] = [
+    pub const NAMES: [&str; 33] = [
         "leader_elected",
         "leader_state_loaded",
         "leader_stepped_down",
@@ -212,6 +224,8 @@
         "transaction_rejected",
         "record_unreadable",
         "submission_parts_unreadable",
+        "submission_parts_unreferenced",
+        "submission_parts_removed",
         "job_accepted",
         "job_cancellation_recorded",
         "job_cancelled",
@@ -256,6 +270,8 @@
             | Event::SettingTooSmall(_)
             | Event::ScaleOutGranted { .. } => Severity::Info,
             Event::LeaderStatus(_)
+            | Event::SubmissionPartsUnreferenced { .. }
+            | Event::SubmissionPartsRemoved { .. }
             | Event::JobAccepted { .. }
             | Event::JobCancelled { .. }
             | Event::JobCompleted { .. }
@@ -285,6 +301,8 @@
             Event::TransactionRejected { .. } => "transaction_rejected",
             Event::RecordUnreadable { .. } => "record_unreadable",
             Event::SubmissionPartsUnreadable { .. } => "submission_parts_unreadable",
+            Event::SubmissionPartsUnreferenced { .. } => "submission_parts_unreferenced",
+            Event::SubmissionPartsRemoved { .. } => "submission_parts_removed",
             Event::JobAccepted { .. } => "job_accepted",
             Event::JobCancellationRecorded { .. } => "job_cancellation_recorded",
             Event::JobCancelled { .. } => "job_cancelled",
--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -27,7 +27,12 @@
             Event::WriteRateReduced { writes_per_s } => vec![field("writes_per_s", *writes_per_s)],
             Event::TransactionRejected { reason } => vec![field("reason", reason.as_str())],
             Event::RecordUnreadable { key } => vec![field("key", key.as_str())],
-            Event::SubmissionPartsUnreadable { prefix } => vec![field("prefix", prefix.as_str())],
+            Event::SubmissionPartsUnreadable { prefix } | Event::SubmissionPartsUnreferenced { prefix } => {
+                vec![field("prefix", prefix.as_str())]
+            }
+            Event::SubmissionPartsRemoved { prefix, job_known } => {
+                vec![field("prefix", prefix.as_str()), field("job_known", *job_known)]
+            }
             Event::JobAccepted { job }
             | Event::JobCancellationRecorded { job }
             | Event::JobCancelled { job }
--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 /// Number of variants of [`Event`].
-const VARIANT_COUNT: usize = 31;
+const VARIANT_COUNT: usize = 33;
 
 /// Index of an event among the samples. The match is exhaustive, so a new variant fails to compile until it is added
 /// here, and the tests fail until it is added to the samples.
@@ -19,27 +19,29 @@
         Event::TransactionRejected { .. } => 7,
         Event::RecordUnreadable { .. } => 8,
         Event::SubmissionPartsUnreadable { .. } => 9,
-        Event::JobAccepted { .. } => 10,
-        Event::JobCancellationRecorded { .. } => 11,
-        Event::JobCancelled { .. } => 12,
-        Event::JobCompleted { .. } => 13,
-        Event::JobDependenciesMet { .. } => 14,
-        Event::JobCancelledByDependency { .. } => 15,
-        Event::JobOffloaded { .. } => 16,
-        Event::TaskFailed { .. } => 17,
-        Event::TasksPreempted { .. } => 18,
-        Event::MachineAdopted { .. } => 19,
-        Event::MachineInterruptionNotice { .. } => 20,
-        Event::MachineLeaseExpired { .. } => 21,
-        Event::MachineQuarantined { .. } => 22,
-        Event::MachineSlow { .. } => 23,
-        Event::ZoneUnreachable { .. } => 24,
-        Event::OwnedMachinesRecorded { .. } => 25,
-        Event::SettingTooSmall(_) => 26,
-        Event::ScaleOutGranted { .. } => 27,
-        Event::ScaleOutNoCapacity { .. } => 28,
-        Event::ScaleOutRejected { .. } => 29,
-        Event::ScaleInCompleted { .. } => 30,
+        Event::SubmissionPartsUnreferenced { .. } => 10,
+        Event::SubmissionPartsRemoved { .. } => 11,
+        Event::JobAccepted { .. } => 12,
+        Event::JobCancellationRecorded { .. } => 13,
+        Event::JobCancelled { .. } => 14,
+        Event::JobCompleted { .. } => 15,
+        Event::JobDependenciesMet { .. } => 16,
+        Event::JobCancelledByDependency { .. } => 17,
+        Event::JobOffloaded { .. } => 18,
+        Event::TaskFailed { .. } => 19,
+        Event::TasksPreempted { .. } => 20,
+        Event::MachineAdopted { .. } => 21,
+        Event::MachineInterruptionNotice { .. } => 22,
+        Event::MachineLeaseExpired { .. } => 23,
+        Event::MachineQuarantined { .. } => 24,
+        Event::MachineSlow { .. } => 25,
+        Event::ZoneUnreachable { .. } => 26,
+        Event::OwnedMachinesRecorded { .. } => 27,
+        Event::SettingTooSmall(_) => 28,
+        Event::ScaleOutGranted { .. } => 29,
+        Event::ScaleOutNoCapacity { .. } => 30,
+        Event::ScaleOutRejected { .. } => 31,
+        Event::ScaleInCompleted { .. } => 32,
     }
 }
 
@@ -104,6 +106,16 @@
             Error,
             "event=submission_parts_unreadable prefix=s/wk-1/",
         ),
+        (
+            Event::SubmissionPartsUnreferenced { prefix: "s/wk-1/".into() },
+            Debug,
+            "event=submission_parts_unreferenced prefix=s/wk-1/",
+        ),
+        (
+            Event::SubmissionPartsRemoved { prefix: "s/wk-1/".into(), job_known: false },
+            Debug,
+            "event=submission_parts_removed prefix=s/wk-1/ job_known=false",
+        ),
         (Event::JobAccepted { job: job.clone() }, Debug, "event=job_accepted job=wk-000412"),
         (Event::JobCancellationRecorded { job: job.clone() }, Info, "event=job_cancellation_recorded job=wk-000412"),
         (Event::JobCancelled { job: job.clone() }, Debug, "event=job_cancelled job=wk-000412"),
--- a/crates/core/src/leader/commit.rs
+++ b/crates/core/src/leader/commit.rs
@@ -10,7 +10,7 @@
 };
 use crate::leader::{Leader, LeaderRequest};
 use crate::model::{Id, PlacementState};
-use crate::records::FinalRecord;
+use crate::records::{FinalRecord, keys};
 use crate::step_down::{ForeignWrite, StepDownReason};
 use shaleshunt_wire::Revision;
 
@@ -126,6 +126,10 @@
         for id in committed.machines {
             self.apply_machine_record(&id);
         }
+        for prefix in committed.removed_submissions {
+            let job_known = self.jobs.contains_key(keys::job_id_of_submission_part(&prefix));
+            ctx.emit(Event::SubmissionPartsRemoved { prefix, job_known });
+        }
     }
 
     /// Marks a placement as committed and schedules the call that starts its task.
--- a/crates/core/src/leader/recovery/restore.rs
+++ b/crates/core/src/leader/recovery/restore.rs
@@ -67,7 +67,7 @@
     fn restore_split_submissions(&mut self, ctx: &mut Context) {
         let mut by_prefix: BTreeMap<String, Vec<KeyValue>> = BTreeMap::new();
         for part in std::mem::take(&mut self.recovery.submission_parts) {
-            let prefix = part.key.rfind('/').map(|at| part.key[..=at].to_string()).unwrap_or_default();
+            let prefix = keys::submission_parts_prefix(&part.key).to_string();
             by_prefix.entry(prefix).or_default().push(part);
         }
         for mut read in std::mem::take(&mut self.recovery.split_records) {
@@ -79,6 +79,9 @@
                 None => self.read_submission_parts(ctx, read),
             }
         }
+        for prefix in by_prefix.keys() {
+            ctx.emit(Event::SubmissionPartsUnreferenced { prefix: prefix.clone() });
+        }
         self.store.add_unreferenced_parts(by_prefix.into_values());
     }
 
--- a/crates/core/src/leader/store/apply.rs
+++ b/crates/core/src/leader/store/apply.rs
@@ -17,6 +17,8 @@
     pub ended_jobs: Vec<Id>,
     /// Machines whose block is stored.
     pub machines: Vec<Id>,
+    /// Prefixes of the submissions whose first part was removed.
+    pub removed_submissions: Vec<String>,
 }
 
 /// Changes of an abandoned transaction that the leader has to process again.
@@ -43,6 +45,9 @@
         let blocks = &mut self.blocks;
         let machines = changes.blocks.into_iter().flat_map(|write| blocks.apply_committed(write, revision)).collect();
         scale_outs::apply_committed(changes.scale_outs, sources.scale_outs, revision);
+        let first_parts = changes.submission_parts.iter().filter_map(|parts| parts.first());
+        let removed_submissions =
+            first_parts.map(|part| keys::submission_parts_prefix(&part.key).to_string()).collect();
         // Without its first part a submission can't be referenced any more, so the other parts can go unconditionally.
         let other_parts = changes.submission_parts.into_iter().flat_map(|parts| parts.into_iter().skip(1));
         self.unreferenced.add_keys(other_parts);
@@ -50,7 +55,7 @@
         if changes.catalog {
             self.catalog.apply_committed(revision);
         }
-        CommittedChanges { placements, ended_jobs: changes.ended_jobs, machines }
+        CommittedChanges { placements, ended_jobs: changes.ended_jobs, machines, removed_submissions }
     }
 
     /// Queues the changes of a transaction that was not and can't be committed to be written again. The jobs whose
--- a/crates/core/src/records/keys.rs
+++ b/crates/core/src/records/keys.rs
@@ -83,6 +83,11 @@
     if number == 0 { OWNED.to_string() } else { format!("{OWNED}/{number}") }
 }
 
+/// Returns the common prefix of all parts of a submission, from the key of a part.
+pub fn submission_parts_prefix(part_key: &str) -> &str {
+    part_key.rfind('/').map_or("", |end| &part_key[..=end])
+}
+
 /// Returns the ID of the job that a submission part belongs to, from the part's key or the common prefix of all parts.
 pub fn job_id_of_submission_part(key: &str) -> &str {
     key.get(SUBMISSION_PARTS.len()..).and_then(|rest| rest.split('/').next()).unwrap_or_default()
--- a/crates/core/src/records/tests.rs
+++ b/crates/core/src/records/tests.rs
@@ -144,6 +144,7 @@
     assert_eq!((keys::machine_block_number("b/7"), keys::machine_block_number("b/")), (Some(7), None));
     assert_eq!((keys::owned_list_part(0), keys::owned_list_part(2)), ("c/owned".to_string(), "c/owned/2".to_string()));
     assert_eq!(keys::job_id_of_submission_part("s/wk-1/n0-5-1/0000"), "wk-1");
+    assert_eq!(keys::submission_parts_prefix("s/wk-1/n0-5-1/0000"), "s/wk-1/n0-5-1/");
 }
 
 #[test]
