--- a/crates/simulation/src/scenario/grammar/job.rs
+++ b/crates/simulation/src/scenario/grammar/job.rs
@@ -61,7 +61,8 @@
         "after-all" => {
             let name = words.next("a job with copies")?;
             let count: u32 = words.number("the number of copies")?;
-            spec.dependencies.extend((1..=count).map(|number| format!("{name}-{number}")));
+            let copies = (1..=count).map(|number| format!("{SHARED_DEPENDENCY_PREFIX}{name}-{number}"));
+            spec.dependencies.extend(copies);
         }
         other => return Err(SyntaxError::unexpected("a property of a job", other)),
     }
--- a/crates/simulation/tests/scenario_language.rs
+++ b/crates/simulation/tests/scenario_language.rs
@@ -96,3 +96,10 @@
     let jobs = jobs("job wk-z at 1 after-all wk-a 3");
     assert_eq!(jobs[0].spec.dependencies, ["wk-a-1", "wk-a-2", "wk-a-3"]);
 }
+
+#[test]
+fn all_copies_depend_on_every_copy_of_the_other_job() {
+    let jobs = jobs("job wk-z at 1 after-all wk-a 2 copies 2 every 1");
+    assert_eq!(jobs[1].spec.id, "wk-z-2");
+    assert!(jobs.iter().all(|job| job.spec.dependencies == ["wk-a-1", "wk-a-2"]));
+}
