--- a/crates/core/src/leader/store/collect.rs
+++ b/crates/core/src/leader/store/collect.rs
@@ -165,7 +165,8 @@
         if !self.has_spare_budget(changes, rate) {
             return;
         }
-        changes.submission_parts = self.unreferenced.collect_submission_parts(&mut changes.builder, jobs);
+        changes.submission_parts =
+            self.unreferenced.collect_submission_parts(&mut changes.builder, jobs, &self.submissions);
         self.pages.collect_unreferenced(&mut changes.builder, &mut changes.pages);
         if let Some(compaction) = self.pages.begin_compaction() {
             self.rewrite_entries(ctx.now.monotonic_ms, jobs, &compaction);
--- a/crates/core/src/leader/store/split_submissions.rs
+++ b/crates/core/src/leader/store/split_submissions.rs
@@ -1,7 +1,7 @@
 //! Bookkeeping for split submissions: reads of the parts of new jobs, and the keys of the parts of known jobs.
 
 use crate::model::Id;
-use crate::records::SplitSubmissionRecord;
+use crate::records::{SplitSubmissionRecord, keys};
 use shaleshunt_wire::Revision;
 use shaleshunt_wire::kv::KeyValue;
 use std::collections::BTreeMap;
@@ -47,21 +47,29 @@
     version: Revision,
 }
 
+/// The record of a job whose parts are being read.
+#[derive(Debug)]
+struct RecordBeingRead {
+    version: Revision,
+    parts_prefix: String,
+}
+
 /// Split submissions of unfinished jobs.
 #[derive(Debug, Default)]
 pub(super) struct SplitSubmissions {
     /// Submission parts of known jobs.
     parts: BTreeMap<Id, SubmissionParts>,
-    /// Jobs that become known once their parts have been read, with the version of their record. A reply to a read for
-    /// another version is outdated.
-    reads_in_progress: BTreeMap<Id, Revision>,
+    /// Records of jobs that become known once their parts have been read. A reply to a read for another version of the
+    /// record is outdated.
+    reads_in_progress: BTreeMap<Id, RecordBeingRead>,
     retries: Vec<Retry>,
 }
 
 impl SplitSubmissions {
     /// Registers a read.
     pub(super) fn begin_read(&mut self, read: &SplitSubmissionRead) {
-        self.reads_in_progress.insert(read.record.job().into(), read.version);
+        let record = RecordBeingRead { version: read.version, parts_prefix: read.record.parts_prefix.clone() };
+        self.reads_in_progress.insert(read.record.job().into(), record);
     }
 
     /// Whether a read is for the latest known version of the job's record.
@@ -70,7 +78,7 @@
     }
 
     fn is_read_in_progress(&self, record: &SplitSubmissionRecord, version: Revision) -> bool {
-        self.reads_in_progress.get(record.job()) == Some(&version)
+        self.reads_in_progress.get(record.job()).is_some_and(|read| read.version == version)
     }
 
     /// Unregisters a read after all parts have been read.
@@ -96,7 +104,16 @@
 
     /// Unregisters reads for a job's record that was removed at `version`, unless they are for a later version.
     pub(super) fn job_removed(&mut self, job: &str, version: Revision) {
-        self.reads_in_progress.retain(|id, read| **id != *job || *read > version);
+        self.reads_in_progress.retain(|id, read| **id != *job || read.version > version);
+    }
+
+    /// Whether the record of an unfinished job is known to refer to the parts with this prefix. No later record of the
+    /// job refers to others: a record is created once, and a cancellation keeps the prefix.
+    pub(super) fn is_referenced(&self, parts_prefix: &str) -> bool {
+        let job = keys::job_id_of_submission_part(parts_prefix);
+        let first_part = self.parts.get(job).and_then(|parts| parts.first());
+        first_part.is_some_and(|part| keys::submission_parts_prefix(&part.key) == parts_prefix)
+            || self.reads_in_progress.get(job).is_some_and(|read| read.parts_prefix == parts_prefix)
     }
 
     /// Adds the parts of a known job.
