--- a/crates/core/src/leader/recovery/restore.rs
+++ b/crates/core/src/leader/recovery/restore.rs
@@ -64,18 +64,19 @@
     }
 
     /// Assigns the submission parts to their jobs. Parts without a job record are queued for removal.
+    ///
+    /// Parts and records are read at different times. A record whose parts are missing or incomplete among those that
+    /// were read was created during recovery: its parts are read again, and no earlier leader has placed its tasks.
     fn restore_split_submissions(&mut self, ctx: &mut Context) {
         let mut by_prefix: BTreeMap<String, Vec<KeyValue>> = BTreeMap::new();
         for part in std::mem::take(&mut self.recovery.submission_parts) {
             let prefix = keys::submission_parts_prefix(&part.key).to_string();
             by_prefix.entry(prefix).or_default().push(part);
         }
-        for mut read in std::mem::take(&mut self.recovery.split_records) {
-            match by_prefix.remove(&read.record.parts_prefix) {
-                Some(parts) => {
-                    read.parts = parts;
-                    self.add_split_submission(ctx, read);
-                }
+        for read in std::mem::take(&mut self.recovery.split_records) {
+            let parts = by_prefix.remove(&read.record.parts_prefix).unwrap_or_default();
+            match read.record.join(&parts) {
+                Some(record) => self.add_split_job(ctx, record, read.version, parts),
                 None => self.read_submission_parts(ctx, read),
             }
         }
--- a/crates/core/src/leader/watch/split_submissions.rs
+++ b/crates/core/src/leader/watch/split_submissions.rs
@@ -6,8 +6,9 @@
 use crate::leader::store::SplitSubmissionRead;
 use crate::leader::{Leader, LeaderRequest};
 use crate::model::Id;
-use crate::records::SplitSubmissionRecord;
+use crate::records::{JobRecord, SplitSubmissionRecord};
 use shaleshunt_wire::Revision;
+use shaleshunt_wire::kv::KeyValue;
 
 /// Retries of an unanswered read, per heartbeat interval.
 const RETRIES_PER_HEARTBEAT: u64 = 12;
@@ -59,18 +60,29 @@
             self.read_submission_parts(ctx, read);
         } else {
             self.store.end_submission_read(&read);
-            self.add_split_submission(ctx, read);
+            self.finish_submission_read(ctx, read);
         }
     }
 
-    /// Adds a job after all parts of its submission have been read.
-    pub(crate) fn add_split_submission(&mut self, ctx: &mut Context, read: SplitSubmissionRead) {
-        let Some(record) = read.record.join(&read.parts) else {
-            ctx.emit(Event::SubmissionPartsUnreadable { prefix: read.record.parts_prefix });
-            return;
-        };
+    /// Adds a job after all parts of its submission have been read. The read was sent after the record was known, and
+    /// all parts are older than the record, so parts that are not a submission are damaged.
+    fn finish_submission_read(&mut self, ctx: &mut Context, read: SplitSubmissionRead) {
+        match read.record.join(&read.parts) {
+            Some(record) => self.add_split_job(ctx, record, read.version, read.parts),
+            None => ctx.emit(Event::SubmissionPartsUnreadable { prefix: read.record.parts_prefix }),
+        }
+    }
+
+    /// Adds a job whose submission was stored in these parts.
+    pub(crate) fn add_split_job(
+        &mut self,
+        ctx: &mut Context,
+        record: JobRecord,
+        version: Revision,
+        parts: Vec<KeyValue>,
+    ) {
         let id: Id = record.submission.id.as_str().into();
-        self.store.add_submission_parts(id, read.parts);
-        self.add_job(ctx, record, read.version);
+        self.store.add_submission_parts(id, parts);
+        self.add_job(ctx, record, version);
     }
 }
--- a/crates/simulation/tests/recovery_reads.rs
+++ b/crates/simulation/tests/recovery_reads.rs
@@ -95,6 +95,20 @@
     assert_next_leaders_know_the_job(&mut leader);
 }
 
+/// Guards against a leader that ignores an accepted job: it took the parts that it had read before the others were
+/// written for the whole submission.
+#[test]
+fn job_whose_parts_were_read_incompletely_before_its_record_runs() {
+    let mut leader = leader_without("j/", |leader| write_part(leader, 0));
+    write_part(&mut leader, 1);
+    leader.site.put("j/wk-1", record());
+    leader.release_held();
+    leader.pass_time(CLEANUP_MS);
+    assert!(leader.site.controller.is_active_leader());
+    assert_job_runs(&mut leader);
+    assert_next_leaders_know_the_job(&mut leader);
+}
+
 #[test]
 fn parts_that_no_record_refers_to_are_removed() {
     let mut leader = leader_without("s/", |_| ());
