--- a/crates/core/src/leader/store/apply.rs
+++ b/crates/core/src/leader/store/apply.rs
@@ -69,8 +69,10 @@
         let stale_jobs: Vec<Id> = conflicting.iter().map(|key| Id::from(keys::job_id(key))).collect();
         self.blocks.apply_abandoned(&changes.blocks);
         scale_outs::apply_abandoned(&changes.scale_outs, sources.scale_outs);
-        // A conflicting job may have been accepted in the meantime, and its record may refer to the parts.
-        let unused = changes.submission_parts.into_iter().filter(|parts| !belongs_to_any(parts, &stale_jobs));
+        // A job that is not known yet has been accepted in the meantime, and its record may refer to the parts. Whether
+        // it does is left to the next leader, as the watch may not show the record for a while.
+        let unknown_jobs: Vec<&Id> = stale_jobs.iter().filter(|id| !sources.jobs.contains_key(*id)).collect();
+        let unused = changes.submission_parts.into_iter().filter(|parts| !belongs_to_any(parts, &unknown_jobs));
         self.unreferenced.add_submission_parts(unused);
         let builder = &changes.builder;
         self.unreferenced.add_keys(changes.obsolete_keys.into_iter().map(|key| {
@@ -93,6 +95,11 @@
     }
 }
 
-fn belongs_to_any(parts: &SubmissionParts, jobs: &[Id]) -> bool {
-    jobs.iter().any(|id| parts.iter().any(|part| part.key[keys::SUBMISSION_PARTS.len()..].starts_with(&**id)))
+fn belongs_to_any(parts: &SubmissionParts, jobs: &[&Id]) -> bool {
+    let Some(first) = parts.first() else { return false };
+    let job = keys::job_id_of_submission_part(&first.key);
+    jobs.iter().any(|id| ***id == *job)
 }
+
+#[cfg(test)]
+mod tests;
