--- a/crates/core/src/api/split_submission.rs
+++ b/crates/core/src/api/split_submission.rs
@@ -50,8 +50,9 @@
 }
 
 impl SplitSubmission {
-    /// Splits a submission into parts that fit into the store's current value size limit.
-    pub fn new(ctx: &Context, submission: PendingSubmission) -> SplitSubmission {
+    /// Splits a submission into parts that fit into the store's current value size limit. `sequence` is a number that
+    /// this process uses for no other prefix: parts of an earlier split may still exist or be removed at any time.
+    pub fn new(ctx: &Context, submission: PendingSubmission, sequence: u64) -> SplitSubmission {
         let text = serde_json::to_string(&submission.submission).unwrap_or_default();
         let prefix = format!(
             "{}{}/{}-{}-{}/",
@@ -59,7 +60,7 @@
             submission.job(),
             ctx.settings.node_name,
             ctx.process_id(),
-            submission.sequence
+            sequence
         );
         SplitSubmission {
             submission,
--- a/crates/core/src/api/submissions.rs
+++ b/crates/core/src/api/submissions.rs
@@ -126,7 +126,8 @@
                 self.read_resubmitted(ctx, duplicate);
             }
             for oversized in batch.oversized {
-                self.split_submissions.begin(SplitSubmission::new(ctx, oversized));
+                let sequence = self.next_sequence();
+                self.split_submissions.begin(SplitSubmission::new(ctx, oversized, sequence));
             }
             if !batch.submissions.is_empty() {
                 let request = KvRequest::Transaction(batch.transaction);
@@ -153,7 +154,8 @@
                 self.split_submissions.push(split);
             }
             Err(RequestError::Rejected(_)) if ctx.limits.reduce_sizes() => {
-                let smaller = SplitSubmission::new(ctx, split.into_submission());
+                let sequence = self.next_sequence();
+                let smaller = SplitSubmission::new(ctx, split.into_submission(), sequence);
                 self.split_submissions.push(Box::new(smaller));
             }
             result => self.handle_acceptance_reply(ctx, vec![split.into_answerable()], sent, result),
--- a/crates/core/src/api/tests.rs
+++ b/crates/core/src/api/tests.rs
@@ -2,12 +2,13 @@
 
 use super::*;
 use crate::api::acceptance::PendingSubmission;
+use crate::controller::PendingRequest;
 use crate::io::{Answer, Effect, KvReply, KvRequest, RequestError, Timestamp};
 use crate::model::samples;
 use crate::settings::{StoreQuota, TeamQuota, Tuning};
 use serde_json::{Value, json};
 use shaleshunt_wire::cloud::{Catalog, MachineType};
-use shaleshunt_wire::kv::KeyValue;
+use shaleshunt_wire::kv::{KeyValue, Transaction};
 use shaleshunt_wire::user::{JobStatus, Submission};
 use std::collections::BTreeMap;
 
@@ -69,6 +70,11 @@
 
 impl Fixture {
     fn new() -> Fixture {
+        Fixture::with_values_of(64.0)
+    }
+
+    /// A fixture whose store takes values of up to `value_kb` KiB.
+    fn with_values_of(value_kb: f64) -> Fixture {
         let settings = Settings {
             node_name: "n0".into(),
             teams: BTreeMap::from([("research".to_string(), TeamQuota::default())]),
@@ -76,7 +82,7 @@
             cancel_s: 20.0,
             kv_rps: 100.0,
             mem_mb: 100.0,
-            store_quota: StoreQuota { value_kb: 64.0, txn_ops: 100, write_rps: 100.0 },
+            store_quota: StoreQuota { value_kb, txn_ops: 100, write_rps: 100.0 },
             ..Settings::default()
         };
         let now = Timestamp { monotonic_ms: 10_000, wall_ms: 1_700_000_000_000 };
@@ -106,6 +112,24 @@
         (answers, requests)
     }
 
+    /// Sends what is due. Returns the pending request of the split submission, and its transaction.
+    fn write_split_submission(&mut self) -> (ApiRequest, Transaction) {
+        // A submission is split in one batch, and its first transaction is sent in the next.
+        for _ in 0..2 {
+            self.api.run_due(&mut self.ctx, &OneTaskRunning);
+        }
+        let effects = self.ctx.take_effects();
+        let mut writes = effects.into_iter().filter_map(|effect| match effect {
+            Effect::Kv(id, KvRequest::Transaction(transaction), _) => Some((id, transaction)),
+            _ => None,
+        });
+        let (id, transaction) = writes.next().expect("a transaction");
+        match self.ctx.complete(id).expect("pending").request {
+            PendingRequest::Api(request @ ApiRequest::WriteSplitSubmission(_)) => (request, transaction),
+            other => panic!("{other:?}"),
+        }
+    }
+
     fn reply(&mut self, request: ApiRequest, result: Result<KvReply, RequestError>) {
         let sent = self.ctx.batch_time();
         self.api.handle_kv_reply(&mut self.ctx, request, sent, result, &OneTaskRunning);
@@ -260,3 +284,33 @@
     fixture.reply(ApiRequest::CompareRecords(vec![status_query(1, "wk-1")]), Ok(KvReply::Committed(Revision(9))));
     assert_eq!(statuses(&fixture.end_batch().0), [(1, 200, Some(JobStatus::Running))]);
 }
+
+/// A submission that takes several values of 1 KiB.
+fn long_submission(job: &str) -> Submission {
+    Submission { image: "x".repeat(3000), ..submission(job) }
+}
+
+fn written_keys(transaction: &Transaction) -> Vec<String> {
+    transaction.preconditions.iter().map(|precondition| precondition.key.clone()).collect()
+}
+
+/// Guards against parts that a leader is about to remove, or that have another size, under the keys of new ones.
+#[test]
+fn submission_that_is_split_again_gets_other_keys() {
+    let first_part_gone = |keys: &[String]| Ok(KvReply::Conflict(vec![keys[0].clone()]));
+    let too_large = |_: &[String]| Err(RequestError::Rejected("value too large".into()));
+    type Reply<'a> = &'a dyn Fn(&[String]) -> Result<KvReply, RequestError>;
+    let replies: [Reply; 2] = [&first_part_gone, &too_large];
+    for reply in replies {
+        let mut fixture = Fixture::with_values_of(1.0);
+        fixture.advance(0);
+        fixture.api.submit(&mut fixture.ctx, 1, long_submission("wk-1"));
+        let (parts, transaction) = fixture.write_split_submission();
+        let first_keys = written_keys(&transaction);
+        fixture.reply(parts, Ok(KvReply::Committed(Revision(7))));
+        let (record, _) = fixture.write_split_submission();
+        fixture.reply(record, reply(&first_keys));
+        let (_, again) = fixture.write_split_submission();
+        assert!(written_keys(&again).iter().all(|key| key.starts_with("s/wk-1/") && !first_keys.contains(key)));
+    }
+}
--- a/crates/core/src/controller/context.rs
+++ b/crates/core/src/controller/context.rs
@@ -159,7 +159,7 @@
     }
 
     /// Removes and returns the pending request that a reply belongs to; `None` if no such request is pending.
-    pub(super) fn complete(&mut self, id: RequestId) -> Option<SentRequest> {
+    pub(crate) fn complete(&mut self, id: RequestId) -> Option<SentRequest> {
         self.pending.complete(id)
     }
 
