--- a/crates/core/src/api/split_submission.rs
+++ b/crates/core/src/api/split_submission.rs
@@ -63,13 +63,13 @@
             sequence
         );
         SplitSubmission {
+            user_answered: submission.request == super::NO_REQUEST,
             submission,
             prefix,
             parts: split_text(&text, ctx.limits.max_value_bytes()),
             written: 0,
             first_part_version: Revision::ABSENT,
             in_flight: InFlight::Record,
-            user_answered: false,
         }
     }
 
@@ -95,14 +95,9 @@
         }
     }
 
-    /// Returns the submission, to be split again.
+    /// Returns the submission, to answer its user or to split it again. Its request is [`super::NO_REQUEST`] if the user
+    /// has already been answered.
     pub fn into_submission(self) -> PendingSubmission {
-        self.submission
-    }
-
-    /// Returns the submission for the answer to its user; its request is [`super::NO_REQUEST`] if the user has already
-    /// been answered.
-    pub fn into_answerable(self) -> PendingSubmission {
         let request = if self.user_answered { super::NO_REQUEST } else { self.submission.request };
         PendingSubmission { request, ..self.submission }
     }
--- a/crates/core/src/api/submissions.rs
+++ b/crates/core/src/api/submissions.rs
@@ -158,7 +158,7 @@
                 let smaller = SplitSubmission::new(ctx, split.into_submission(), sequence);
                 self.split_submissions.push(Box::new(smaller));
             }
-            result => self.handle_acceptance_reply(ctx, vec![split.into_answerable()], sent, result),
+            result => self.handle_acceptance_reply(ctx, vec![split.into_submission()], sent, result),
         }
     }
 
--- a/crates/core/src/api/tests.rs
+++ b/crates/core/src/api/tests.rs
@@ -314,3 +314,23 @@
         assert!(written_keys(&again).iter().all(|key| key.starts_with("s/wk-1/") && !first_keys.contains(key)));
     }
 }
+
+/// Guards against a second answer to a request, after a submission in progress had to be split again.
+#[test]
+fn user_is_answered_once_if_an_overdue_submission_is_split_again() {
+    let mut fixture = Fixture::with_values_of(1.0);
+    fixture.advance(0);
+    fixture.api.submit(&mut fixture.ctx, 1, long_submission("wk-1"));
+    let (parts, _) = fixture.write_split_submission();
+    fixture.reply(parts, Err(RequestError::Throttled));
+    fixture.advance(MAX_SUBMIT_WAIT_MS + 1);
+    fixture.api.answer_overdue_submissions(&mut fixture.ctx);
+    let answered = fixture.ctx.take_effects().into_iter().any(|effect| matches!(effect, Effect::Answer(1, _)));
+    assert!(answered, "with 503, while the submission is still written");
+    let (parts, _) = fixture.write_split_submission();
+    fixture.reply(parts, Err(RequestError::Rejected("value too large".into())));
+    fixture.advance(MAX_SUBMIT_WAIT_MS + 1);
+    let (answers, requests) = fixture.end_batch();
+    assert!(answers.is_empty(), "{answers:?}");
+    assert!(matches!(requests[..], [KvRequest::Transaction(_)]));
+}
