--- a/crates/core/src/controller/election/mod.rs
+++ b/crates/core/src/controller/election/mod.rs
@@ -8,8 +8,8 @@
 //! and every transaction of a leader has the epoch key's version as a precondition. A former leader, whether or not it
 //! has noticed its loss of leadership, can therefore commit nothing.
 //!
-//! The steps: read the leadership keys; watch them while there is a leader; without a leader, grant a lease, read the
-//! epoch again and claim the next epoch by compare-and-swap. Each pending request carries its step as an
+//! The steps: read the leadership keys, all pages of them; watch them while there is a leader; without a leader, grant a
+//! lease, read the epoch again and claim the next epoch by compare-and-swap. Each pending request carries its step as an
 //! [`ElectionRequest`]. After a switch between the direct route and a relay, a read may start while a watch is still in
 //! flight, so several steps may be in flight at a time and `Election` stores no current step.
 //!
@@ -19,11 +19,13 @@
 //! - The known epoch never decreases, with one exception. If a claim turns out to be committed after a newer epoch
 //!   became known, the known epoch is set to the claimed one, so that the next heartbeat of the newer leader still
 //!   makes this node step down.
+//! - A watch without changes confirms the list of cancellations only if all pages of the list were read, and at a
+//!   revision from which the watch started or a later one.
 
 mod records;
 
 use super::context::Context;
-use super::election_request::ElectionRequest;
+use super::election_request::{CancellationRead, ElectionRequest};
 use super::pending::PendingRequest;
 use crate::io::{KvReply, KvRequest, RequestError};
 use crate::model::keys;
@@ -104,8 +106,10 @@
     leader_lease: Option<u64>,
     /// Time of the next read of the leadership keys on the monotonic clock; `None` while a step is in flight.
     read_due_at_ms: Option<u64>,
-    /// Revision of the store at the last read, from which watches start.
+    /// Revision of the store at the first page of the last read, from which watches start.
     read_revision: Revision,
+    /// Revision of the list of cancellations that was read completely last: it has all cancellations up to then.
+    cancellations_revision: Revision,
 }
 
 impl Election {
@@ -117,6 +121,7 @@
             leader_lease: None,
             read_due_at_ms: Some(now_ms),
             read_revision: Revision::ABSENT,
+            cancellations_revision: Revision::ABSENT,
         }
     }
 
@@ -188,11 +193,13 @@
             (ElectionRequest::ReadLeadership, KvReply::Page(page)) => {
                 return self.handle_leadership_page(ctx, sent_at_ms, &page);
             }
-            (ElectionRequest::WatchLeadership, KvReply::Changes(reply)) if reply.changes.is_empty() => {
-                self.watch(ctx);
-                return ElectionTransition::CancellationsUnchanged { sent_at_ms };
+            (ElectionRequest::ReadCancellations(read), KvReply::Page(page)) => {
+                return self.continue_cancellation_read(ctx, read, &page);
             }
-            (ElectionRequest::WatchLeadership, _) => self.read_leadership(ctx),
+            (ElectionRequest::WatchLeadership { after }, KvReply::Changes(reply)) if reply.changes.is_empty() => {
+                return self.handle_unchanged(ctx, sent_at_ms, after);
+            }
+            (ElectionRequest::WatchLeadership { .. }, _) => self.read_leadership(ctx),
             (ElectionRequest::GrantLease, KvReply::LeaseGranted(lease)) => {
                 // The epoch is read again because its version must be no older than the lease.
                 let get = KvRequest::Get { key: keys::EPOCH.into() };
@@ -212,7 +219,10 @@
                 revoke(ctx, lease);
                 self.read_leadership(ctx);
             }
-            (ElectionRequest::ReadLeadership | ElectionRequest::GrantLease, _) => {
+            (
+                ElectionRequest::ReadLeadership | ElectionRequest::ReadCancellations(_) | ElectionRequest::GrantLease,
+                _,
+            ) => {
                 self.read_after(ctx, RETRY_DELAY_INTERVALS);
             }
         }
@@ -224,32 +234,62 @@
         if let Some(pair) = find_key(page, keys::EPOCH) {
             self.epoch = self.epoch.max(epoch_from_value(&pair.value));
         }
-        match find_key(page, keys::LEADER) {
-            Some(pair) => self.handle_leader_record(ctx, LeaderRecord::from_value(&pair.value)),
+        let read = CancellationRead { sent_at_ms, revision: page.revision, cancelled: BTreeSet::new() };
+        match find_key(page, keys::LEADER).map(|pair| LeaderRecord::from_value(&pair.value)) {
+            Some(record) if record.node != ctx.settings.node_name => {
+                self.known_leader = Some(record.node);
+                self.leader_lease = record.lease;
+                return self.continue_cancellation_read(ctx, read, page);
+            }
+            Some(record) => {
+                // The record is left from before a restart, or from a claim whose reply was lost.
+                self.known_leader = None;
+                revoke(ctx, record.lease.unwrap_or(0));
+                self.read_after(ctx, OWN_LEASE_REVOKED_DELAY_INTERVALS);
+            }
             None => {
                 self.known_leader = None;
                 let ttl_ms = leader_lease_ms(&ctx.settings, &ctx.tuning);
                 send(ctx, KvRequest::GrantLease { ttl_ms }, ElectionRequest::GrantLease);
             }
         }
+        if page.truncated { ElectionTransition::None } else { self.finish_cancellation_read(read, page) }
+    }
+
+    /// Takes the cancellations on a page, and reads the next page or begins to watch.
+    fn continue_cancellation_read(
+        &mut self,
+        ctx: &mut Context,
+        mut read: CancellationRead,
+        page: &Page,
+    ) -> ElectionTransition {
         if page.truncated {
+            read.cancelled.extend(cancellations(page));
+            let after = page.pairs.last().map(|pair| pair.key.clone()).unwrap_or_default();
+            let scan = KvRequest::Scan { prefix: LEADERSHIP_PREFIX.into(), after };
+            send(ctx, scan, ElectionRequest::ReadCancellations(read));
             return ElectionTransition::None;
         }
-        let cancelled = page.pairs.iter().filter_map(|pair| pair.key.strip_prefix(keys::CANCELLED));
-        ElectionTransition::CancellationsRead { sent_at_ms, cancelled: cancelled.map(str::to_string).collect() }
+        self.watch(ctx);
+        self.finish_cancellation_read(read, page)
+    }
+
+    /// Takes the cancellations on the last page.
+    fn finish_cancellation_read(&mut self, mut read: CancellationRead, page: &Page) -> ElectionTransition {
+        read.cancelled.extend(cancellations(page));
+        self.cancellations_revision = read.revision;
+        ElectionTransition::CancellationsRead { sent_at_ms: read.sent_at_ms, cancelled: read.cancelled }
     }
 
-    fn handle_leader_record(&mut self, ctx: &mut Context, record: LeaderRecord) {
-        if record.node == ctx.settings.node_name {
-            // The record is left from before a restart, or from a claim whose reply was lost.
-            self.known_leader = None;
-            revoke(ctx, record.lease.unwrap_or(0));
-            self.read_after(ctx, OWN_LEASE_REVOKED_DELAY_INTERVALS);
-        } else {
-            self.known_leader = Some(record.node);
-            self.leader_lease = record.lease;
-            self.watch(ctx);
+    /// Handles a watch from the revision `after` that ended without changes. It confirms the list of cancellations only
+    /// if the list is not older: it may be the result of a delayed read, or the read that replaces it may have pages
+    /// left.
+    fn handle_unchanged(&mut self, ctx: &mut Context, sent_at_ms: u64, after: Revision) -> ElectionTransition {
+        self.watch(ctx);
+        if self.cancellations_revision < after {
+            return ElectionTransition::None;
         }
+        ElectionTransition::CancellationsUnchanged { sent_at_ms }
     }
 
     /// Sends the transaction that writes the leader key and the next epoch. Preconditions: there is no leader key, and
@@ -273,8 +313,9 @@
 
     fn watch(&self, ctx: &mut Context) {
         let max_wait_ms = ctx.settings.heartbeat_interval_ms() / WATCHES_PER_HEARTBEAT;
-        let watch = KvRequest::Watch { prefix: LEADERSHIP_PREFIX.into(), after: self.read_revision, max_wait_ms };
-        send(ctx, watch, ElectionRequest::WatchLeadership);
+        let after = self.read_revision;
+        let watch = KvRequest::Watch { prefix: LEADERSHIP_PREFIX.into(), after, max_wait_ms };
+        send(ctx, watch, ElectionRequest::WatchLeadership { after });
     }
 
     fn read_after(&mut self, ctx: &Context, heartbeat_intervals: f64) {
@@ -283,6 +324,11 @@
     }
 }
 
+/// The names of the cancelled jobs on a page.
+fn cancellations(page: &Page) -> impl Iterator<Item = String> {
+    page.pairs.iter().filter_map(|pair| pair.key.strip_prefix(keys::CANCELLED)).map(str::to_string)
+}
+
 fn find_key<'a>(page: &'a Page, key: &str) -> Option<&'a KeyValue> {
     page.pairs.iter().find(|pair| pair.key == key)
 }
