--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -17,6 +17,7 @@
 mod machine_failures;
 mod placements;
 pub(crate) mod recovery;
+pub(crate) mod retry_queue;
 mod scale_out_requests;
 pub(crate) mod scheduler;
 pub(crate) mod store;
--- a/crates/core/src/leader/recovery/mod.rs
+++ b/crates/core/src/leader/recovery/mod.rs
@@ -9,6 +9,7 @@
 
 use crate::controller::Context;
 use crate::io::{KvReply, KvRequest, RequestError};
+use crate::leader::retry_queue::RetryQueue;
 use crate::leader::store::SplitSubmissionRead;
 use crate::leader::{Leader, LeaderRequest};
 use crate::records::keys;
@@ -70,19 +71,11 @@
     after: String,
 }
 
-/// A page that has to be requested again.
-#[derive(Debug)]
-struct ScanRetry {
-    /// Time of the retry (ms, monotonic).
-    at: u64,
-    position: ScanPosition,
-}
-
 /// Progress of the recovery, and the records read so far.
 #[derive(Debug, Default)]
 pub(crate) struct Recovery {
     scans_in_flight: u32,
-    retries: Vec<ScanRetry>,
+    retries: RetryQueue<ScanPosition>,
     submission_parts: Vec<KeyValue>,
     split_records: Vec<SplitSubmissionRead>,
     pages: Vec<KeyValue>,
@@ -97,12 +90,6 @@
         self.split_records.push(read);
     }
 
-    /// Returns the next page that is due for a retry.
-    fn next_retry(&mut self, now: u64) -> Option<ScanPosition> {
-        let at = self.retries.iter().position(|retry| now >= retry.at)?;
-        Some(self.retries.swap_remove(at).position)
-    }
-
     /// Whether everything has been read.
     fn is_complete(&self) -> bool {
         self.scans_in_flight == 0 && self.retries.is_empty()
@@ -126,7 +113,7 @@
 
     /// Repeats unanswered scans that are due.
     pub(super) fn retry_scans(&mut self, ctx: &mut Context) {
-        while let Some(position) = self.recovery.next_retry(ctx.now.monotonic_ms) {
+        while let Some(position) = self.recovery.retries.pop_due(ctx.now.monotonic_ms) {
             self.scan(ctx, position);
         }
     }
@@ -143,8 +130,8 @@
             Ok(_) => self.step_down = Some(StepDownReason::RecordsUnreadable),
             Err(_) => {
                 self.recovery.scans_in_flight -= 1;
-                let at = ctx.now.monotonic_ms + ctx.settings.heartbeat_interval_ms() / RETRIES_PER_HEARTBEAT;
-                self.recovery.retries.push(ScanRetry { at, position });
+                let delay_ms = ctx.settings.heartbeat_interval_ms() / RETRIES_PER_HEARTBEAT;
+                self.recovery.retries.push(ctx.now.monotonic_ms + delay_ms, position);
             }
         }
     }
--- a/crates/core/src/leader/store/split_submissions.rs
+++ b/crates/core/src/leader/store/split_submissions.rs
@@ -1,5 +1,6 @@
 //! Bookkeeping for split submissions: reads of the parts of new jobs, and the keys of the parts of known jobs.
 
+use crate::leader::retry_queue::RetryQueue;
 use crate::model::Id;
 use crate::records::{SplitSubmissionRecord, keys};
 use shaleshunt_wire::Revision;
@@ -38,15 +39,6 @@
     }
 }
 
-/// A failed read of submission parts that is to be restarted.
-#[derive(Debug)]
-struct Retry {
-    /// Time of the restart (ms, monotonic).
-    at: u64,
-    record: SplitSubmissionRecord,
-    version: Revision,
-}
-
 /// The record of a job whose parts are being read.
 #[derive(Debug)]
 struct RecordBeingRead {
@@ -62,7 +54,8 @@
     /// Records of jobs that become known once their parts have been read. A reply to a read for another version of the
     /// record is outdated.
     reads_in_progress: BTreeMap<Id, RecordBeingRead>,
-    retries: Vec<Retry>,
+    /// Reads that failed and are to be restarted, without the parts that they had read.
+    retries: RetryQueue<SplitSubmissionRead>,
 }
 
 impl SplitSubmissions {
@@ -74,11 +67,7 @@
 
     /// Whether a read is for the latest known version of the job's record.
     pub(super) fn is_current(&self, read: &SplitSubmissionRead) -> bool {
-        self.is_read_in_progress(&read.record, read.version)
-    }
-
-    fn is_read_in_progress(&self, record: &SplitSubmissionRecord, version: Revision) -> bool {
-        self.reads_in_progress.get(record.job()).is_some_and(|read| read.version == version)
+        self.reads_in_progress.get(read.record.job()).is_some_and(|record| record.version == read.version)
     }
 
     /// Unregisters a read after all parts have been read.
@@ -88,15 +77,14 @@
 
     /// Schedules the restart of a failed read at `at` (ms, monotonic).
     pub(super) fn retry_at(&mut self, at: u64, read: SplitSubmissionRead) {
-        self.retries.push(Retry { at, record: read.record, version: read.version });
+        self.retries.push(at, SplitSubmissionRead::new(read.record, read.version));
     }
 
     /// Returns the next read that is due for a retry. Reads for outdated records are dropped.
     pub(super) fn next_retry(&mut self, now: u64) -> Option<SplitSubmissionRead> {
-        while let Some(at) = self.retries.iter().position(|retry| now >= retry.at) {
-            let Retry { record, version, .. } = self.retries.swap_remove(at);
-            if self.is_read_in_progress(&record, version) {
-                return Some(SplitSubmissionRead::new(record, version));
+        while let Some(read) = self.retries.pop_due(now) {
+            if self.is_current(&read) {
+                return Some(read);
             }
         }
         None
