--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -209,6 +209,7 @@
         if self.watch.is_retry_due(now) {
             self.watch_jobs(ctx);
         }
+        self.retry_job_refreshes(ctx);
         if self.fleet.reachability.take_due_check(now, ctx.settings.heartbeat_interval_ms()) {
             self.expire_machine_leases(ctx);
             self.probe_overdue(ctx);
--- a/crates/core/src/leader/watch/mod.rs
+++ b/crates/core/src/leader/watch/mod.rs
@@ -3,11 +3,13 @@
 //! `JobWatch` owns the revision up to which changes have been seen, and the time up to which no cancellation can have
 //! been missed. Changes are applied once and in order. A record older than the leader's copy has no effect.
 
+mod record_refresh;
 mod split_submissions;
 
 use crate::controller::Context;
 use crate::event::Event;
 use crate::io::{KvReply, KvRequest, RequestError};
+use crate::leader::retry_queue::RetryQueue;
 use crate::leader::{Leader, LeaderRequest};
 use crate::model::{Id, Job};
 use crate::records::{JobRecord, StoredJob, keys};
@@ -33,6 +35,8 @@
     revision: Option<Revision>,
     /// Time at which a failed watch is repeated. `None` while none has failed.
     retry_at_ms: Option<u64>,
+    /// Jobs whose records are to be read again, since a read of them failed.
+    refresh_retries: RetryQueue<Id>,
     /// Time at which the last answered watch was sent. No cancellation before this time has been missed.
     fresh_at_ms: u64,
 }
@@ -40,7 +44,13 @@
 impl JobWatch {
     /// Creates the watch of a leader that starts at `now` (ms, monotonic).
     pub(crate) fn new(now: u64) -> JobWatch {
-        JobWatch { ended_jobs: BTreeMap::new(), revision: None, retry_at_ms: None, fresh_at_ms: now }
+        JobWatch {
+            ended_jobs: BTreeMap::new(),
+            revision: None,
+            retry_at_ms: None,
+            refresh_retries: RetryQueue::default(),
+            fresh_at_ms: now,
+        }
     }
 
     /// Sets the revision after which changes are watched: that of the first page of jobs read during recovery.
@@ -212,32 +222,6 @@
         self.scheduler.request_pass();
     }
 
-    /// Reads a job's record again, after a precondition on it failed.
-    pub(crate) fn refresh_job_record(&mut self, ctx: &mut Context, id: Id) {
-        let key = keys::job(&id);
-        let wait = self.pending_request(LeaderRequest::ReadJobRecord(id));
-        ctx.send_kv(KvRequest::Get { key }, wait);
-    }
-
-    /// Handles the reply to a repeated read of a job's record. A failed read is sent again.
-    pub(crate) fn handle_job_refresh_reply(
-        &mut self,
-        ctx: &mut Context,
-        id: Id,
-        result: Result<KvReply, RequestError>,
-    ) {
-        match result {
-            Ok(KvReply::Found(pair)) => {
-                // A job that has ended in the meantime is not added again.
-                if self.jobs.contains_key(&id) {
-                    self.apply_job_record(ctx, &pair.key, pair.value, pair.version);
-                }
-            }
-            Ok(KvReply::Missing) => self.apply_job_removal(ctx, &id),
-            _ => self.refresh_job_record(ctx, id),
-        }
-    }
-
     /// Whether machine leases may be renewed, which requires that all cancellations are known up to a recent time.
     pub(crate) fn may_renew_leases(&self, ctx: &Context) -> bool {
         self.watch.is_fresh(ctx.now.monotonic_ms, ctx.settings.lease_renewal_window_ms())
