--- a/crates/core/src/leader/store/apply.rs
+++ b/crates/core/src/leader/store/apply.rs
@@ -89,7 +89,7 @@
 
     /// Releases the task entries and submission parts of a job whose end is stored, as nothing refers to them any more.
     pub(crate) fn job_ended(&mut self, job: &Job) {
-        self.forget_job(job);
+        self.pages.forget_job(job);
         let parts = self.submissions.remove(&job.id);
         self.unreferenced.add_submission_parts(parts);
     }
--- a/crates/core/src/leader/store/mod.rs
+++ b/crates/core/src/leader/store/mod.rs
@@ -126,11 +126,6 @@
         self.queue.queue(now, job);
     }
 
-    /// Drops the live task entries of a job that has ended.
-    pub(crate) fn forget_job(&mut self, job: &Job) {
-        self.pages.forget_job(job);
-    }
-
     /// Adds a machine to a block of its zone, unless it is in a block already.
     pub(crate) fn join_block(&mut self, machine: &mut Machine, max_machines: usize) {
         self.blocks.join(machine, max_machines);
--- a/crates/core/src/leader/watch/mod.rs
+++ b/crates/core/src/leader/watch/mod.rs
@@ -214,7 +214,7 @@
         let id = job.id.clone();
         self.stop_job(ctx, &id);
         if let Some(job) = self.jobs.remove(&id) {
-            self.store.forget_job(&job);
+            self.store.job_ended(&job);
             self.remove_dependencies(&job);
         }
         self.job_record_removed(ctx.now.monotonic_ms, &id);
