--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -217,7 +217,7 @@
             _ => Reachability::Reachable,
         };
         self.ctx.emit(Event::LeaderSteppedDown { epoch: leader.epoch, reason });
-        self.election.step_down(&mut self.ctx, leader.lease_id, reachability);
+        self.election.step_down(&mut self.ctx, leader.lease.id(), reachability);
     }
 
     /// Runs the work of all subsystems that is due. Called once per batch.
--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -48,24 +48,18 @@
             | Event::MachineSlow { machine }
             | Event::ScaleInCompleted { machine } => vec![field("machine", &**machine)],
             Event::MachineInterruptionNotice { machine, seconds_left } => {
-                vec![field("machine", &**machine), field("seconds_left", *seconds_left)]
-            }
-            Event::MachineLeaseExpired { machine, tasks } => {
-                vec![field("machine", &**machine), field("tasks", *tasks)]
-            }
-            Event::MachineQuarantined { machine, seconds } => {
-                vec![field("machine", &**machine), field("seconds", *seconds)]
+                machine_fields(machine, field("seconds_left", *seconds_left))
             }
+            Event::MachineLeaseExpired { machine, tasks } => machine_fields(machine, field("tasks", *tasks)),
+            Event::MachineQuarantined { machine, seconds } => machine_fields(machine, field("seconds", *seconds)),
             Event::ZoneUnreachable { zone } => vec![field("zone", zone.as_str())],
             Event::OwnedMachinesRecorded { machines } => vec![field("machines", *machines)],
             Event::SettingTooSmall(insufficient) => insufficient_setting_fields(insufficient),
             Event::ScaleOutGranted { request, zone, granted, requested } => {
-                let names = [field("request", request.as_str()), field("zone", zone.as_str())];
-                names.into_iter().chain([field("granted", *granted), field("requested", *requested)]).collect()
-            }
-            Event::ScaleOutNoCapacity { request, zone } => {
-                vec![field("request", request.as_str()), field("zone", zone.as_str())]
+                let counts = [field("granted", *granted), field("requested", *requested)];
+                scale_out_fields(request, zone).into_iter().chain(counts).collect()
             }
+            Event::ScaleOutNoCapacity { request, zone } => scale_out_fields(request, zone),
             Event::ScaleOutRejected { request, reason } => {
                 vec![field("request", request.as_str()), field("reason", reason.as_str())]
             }
@@ -73,6 +67,16 @@
     }
 }
 
+/// The machine and one more field.
+fn machine_fields<'a>(machine: &'a str, other: Field<'a>) -> Vec<Field<'a>> {
+    vec![field("machine", machine), other]
+}
+
+/// The name of a scale-out request and its zone.
+fn scale_out_fields<'a>(request: &'a str, zone: &'a str) -> Vec<Field<'a>> {
+    vec![field("request", request), field("zone", zone)]
+}
+
 fn task_failed_fields<'a>(task: &'a str, machine: &'a str, cause: &ExitCause) -> Vec<Field<'a>> {
     vec![field("task", task), field("machine", machine), field("cause", format!("{cause:?}"))]
 }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -1,6 +1,6 @@
 //! The leader: combines the store, the scheduler, the fleet and the autoscaler, and acts during its epoch.
 //!
-//! `Leader` owns the unfinished jobs and the state of the leadership itself: the epoch, the leader lease, and the
+//! `Leader` owns the unfinished jobs and the state of the leadership itself: the epoch, the [`lease`], and the
 //! counters of attempts and placements. Its components own the rest and don't call one another. Work that concerns
 //! several components is done here and in the modules of this folder that are not components: recovery
 //! ([`recovery`]), changes by users ([`watch`]), `commit`, `heartbeats`, `placements` and the like.
@@ -14,6 +14,7 @@
 mod direct_calls;
 pub(crate) mod fleet;
 mod heartbeats;
+mod lease;
 mod machine_failures;
 mod placements;
 pub(crate) mod recovery;
@@ -27,9 +28,10 @@
 
 use crate::controller::{Context, PendingRequest};
 use crate::event::{Event, LeaderStatus};
-use crate::io::{KvReply, KvRequest, RequestError};
+use crate::io::{KvReply, RequestError};
 use crate::leader::autoscaler::Autoscaler;
 use crate::leader::fleet::Fleet;
+use crate::leader::lease::LeaderLease;
 use crate::leader::recovery::{Recovery, ScanPosition};
 use crate::leader::scheduler::Scheduler;
 use crate::leader::store::{CommitStep, SplitSubmissionRead, Store};
@@ -45,10 +47,6 @@
 /// leases and replies come first.
 const PASS_DELAY_PER_LAG: u64 = 4;
 const MAX_LAG_DELAY_HEARTBEAT_DIVISOR: u64 = 5;
-/// Number of renewals within the lifetime of the leader lease.
-const RENEWALS_PER_LEASE: f64 = 4.0;
-/// Number of retries per heartbeat interval for a failed lease renewal.
-const RENEWAL_RETRIES_PER_HEARTBEAT: u64 = 12;
 /// Upper bound for the progress of one job in a frame between controllers, in bytes, with ample room for long IDs.
 const MAX_JOB_PROGRESS_BYTES: usize = 256;
 
@@ -88,15 +86,12 @@
     pub(crate) epoch: Epoch,
     /// Version of the epoch key while the epoch belongs to this leader.
     pub(crate) epoch_version: Revision,
-    /// ID of the leader lease in the key-value store.
-    pub(crate) lease_id: u64,
+    pub(crate) lease: LeaderLease,
     /// Whether all records have been read.
     pub(crate) active: bool,
     /// Reason for stepping down; `None` while the leadership lasts.
     pub(crate) step_down: Option<StepDownReason>,
     pub(crate) elected_at_ms: u64,
-    renew_at_ms: u64,
-    is_renewal_in_flight: bool,
     pub(crate) last_attempt: u64,
     last_placement_id: u64,
     /// Unfinished jobs by ID.
@@ -117,12 +112,10 @@
         let mut leader = Leader {
             epoch,
             epoch_version,
-            lease_id,
+            lease: LeaderLease::new(lease_id, now),
             active: false,
             step_down: None,
             elected_at_ms: now,
-            renew_at_ms: now,
-            is_renewal_in_flight: false,
             last_attempt: 0,
             last_placement_id: 0,
             jobs: BTreeMap::new(),
@@ -169,19 +162,6 @@
         }
     }
 
-    /// Handles the reply to a renewal of the leader lease, or its failure.
-    fn handle_lease_renewal(&mut self, ctx: &Context, result: Result<KvReply, RequestError>) {
-        self.is_renewal_in_flight = false;
-        match result {
-            Ok(KvReply::Missing) => self.step_down = Some(StepDownReason::LeaseExpired),
-            Ok(_) => {}
-            Err(_) => {
-                self.renew_at_ms =
-                    ctx.now.monotonic_ms + ctx.settings.heartbeat_interval_ms() / RENEWAL_RETRIES_PER_HEARTBEAT
-            }
-        }
-    }
-
     /// Runs everything that is due, by time or because of events in the batch.
     pub(crate) fn run_due(&mut self, ctx: &mut Context) {
         self.renew_lease(ctx);
@@ -191,18 +171,6 @@
         }
     }
 
-    fn renew_lease(&mut self, ctx: &mut Context) {
-        let now_ms = ctx.now.monotonic_ms;
-        if self.renew_at_ms > now_ms || self.is_renewal_in_flight {
-            return;
-        }
-        let lease_ms = ctx.settings.heartbeat_interval_s * ctx.tuning.leader_lease_intervals * 1000.0;
-        self.renew_at_ms = now_ms + (lease_ms / RENEWALS_PER_LEASE) as u64;
-        self.is_renewal_in_flight = true;
-        let pending = self.pending_request(LeaderRequest::RenewLease);
-        ctx.send_kv(KvRequest::RenewLease { lease: self.lease_id }, pending);
-    }
-
     /// Runs the work of a leader that has read all records.
     fn run_active(&mut self, ctx: &mut Context) {
         let now = ctx.now.monotonic_ms;
