--- a/crates/core/src/leader/store/owned_list.rs
+++ b/crates/core/src/leader/store/owned_list.rs
@@ -18,7 +18,8 @@
 }
 
 /// The stored list of owned machines. A list that exceeds a value is split into parts. The first part is written last:
-/// the others are ignored while it doesn't exist.
+/// the others are ignored while it doesn't exist. A leader that failed before it wrote the first part may have left
+/// others, which must not become parts of the next leader's list.
 #[derive(Debug, Default)]
 pub(super) struct OwnedList {
     /// Versions of the stored parts, by key.
@@ -38,9 +39,17 @@
         self.versions.contains_key(keys::OWNED)
     }
 
-    /// Queues a list to be written, in parts of at most `max_value_bytes` bytes.
+    /// Queues a list to be written, in parts of at most `max_value_bytes` bytes. Parts that are stored and not part of
+    /// this list are emptied.
     pub(super) fn record(&mut self, machines: &BTreeSet<String>, max_value_bytes: usize) {
-        self.pending = (0..).zip(split_into_values(machines, max_value_bytes)).collect();
+        let stored = self.versions.keys().filter_map(|key| keys::owned_list_part_number(key));
+        self.pending = stored.map(|number| (number, Vec::new())).collect();
+        self.pending.extend((0..).zip(split_into_values(machines, max_value_bytes)));
+    }
+
+    /// Whether parts wait to be written.
+    pub(super) fn has_pending(&self) -> bool {
+        !self.pending.is_empty()
     }
 
     /// Adds pending parts to a transaction, the first part last, while there is space.
--- a/crates/core/src/leader/store/owned_list/tests.rs
+++ b/crates/core/src/leader/store/owned_list/tests.rs
@@ -30,3 +30,18 @@
     list.apply_committed(writes, Revision::ABSENT);
     assert!(list.is_recorded());
 }
+
+/// Guards against rented machines that count as owned because a leader that failed left them in a part of its list.
+#[test]
+fn parts_that_a_failed_leader_left_are_emptied() {
+    let mut list = OwnedList::default();
+    for number in [1, 3] {
+        list.restore(keys::owned_list_part(number), Revision(5));
+    }
+    list.record(&names(9), 96);
+    let mut builder = TransactionBuilder::new(TransactionLimits { writes: 9, preconditions: 9 });
+    let writes = list.collect(&mut builder);
+    let sizes: Vec<(u32, usize)> = writes.iter().map(|write| (write.number, write.machines.len())).collect();
+    assert_eq!(sizes, [(3, 0), (1, 1), (0, 8)]);
+    assert_eq!(builder.required_version("c/owned/3"), Revision(5));
+}
--- a/crates/core/src/records/keys.rs
+++ b/crates/core/src/records/keys.rs
@@ -88,6 +88,14 @@
     part_key.rfind('/').map_or("", |end| &part_key[..=end])
 }
 
+/// Returns the number of the part of the list of owned machines with this key.
+pub fn owned_list_part_number(key: &str) -> Option<u32> {
+    match key.strip_prefix(OWNED)? {
+        "" => Some(0),
+        rest => rest.strip_prefix('/')?.parse().ok(),
+    }
+}
+
 /// Returns the ID of the job that a submission part belongs to, from the part's key or the common prefix of all parts.
 pub fn job_id_of_submission_part(key: &str) -> &str {
     key.get(SUBMISSION_PARTS.len()..).and_then(|rest| rest.split('/').next()).unwrap_or_default()
