--- a/crates/core/src/leader/store/collect.rs
+++ b/crates/core/src/leader/store/collect.rs
@@ -28,13 +28,17 @@
     ) {
         let max_writes = changes.builder.limits().writes;
         self.collect_blocks(ctx, sources, changes, rate);
-        changes.scale_outs = scale_outs::collect(&mut changes.builder, sources.scale_outs, sources.machines);
+        // Rented machines that are up before the owned ones are recorded would count as owned at the next leader. A
+        // request is sent only once it is recorded.
+        changes.owned_list = self.owned_list.collect(&mut changes.builder);
+        if !self.owned_list.has_pending() {
+            changes.scale_outs = scale_outs::collect(&mut changes.builder, sources.scale_outs, sources.machines);
+        }
         // Users wait for jobs to end as they wait for tasks to start: each kind may take half of the writes, plus what
         // the other leaves.
         self.collect_job_ends(ctx, sources.jobs, changes, max_writes.div_ceil(2));
         self.collect_placements(ctx, sources.jobs, changes);
         self.collect_job_ends(ctx, sources.jobs, changes, max_writes);
-        changes.owned_list = self.owned_list.collect(&mut changes.builder);
         changes.catalog = self.catalog.collect(ctx.catalog, ctx.limits.max_value_bytes(), &mut changes.builder);
         self.collect_outcomes(ctx, sources.jobs, changes);
         self.pages.collect_drafts(&mut changes.builder, &mut changes.pages);
@@ -212,3 +216,6 @@
     changes.ended_jobs.push(job.id.clone());
     true
 }
+
+#[cfg(test)]
+mod tests;
