--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -30,9 +30,7 @@
             Event::SubmissionPartsUnreadable { prefix } | Event::SubmissionPartsUnreferenced { prefix } => {
                 vec![field("prefix", prefix.as_str())]
             }
-            Event::SubmissionPartsRemoved { prefix, job_known } => {
-                vec![field("prefix", prefix.as_str()), field("job_known", *job_known)]
-            }
+            Event::SubmissionPartsRemoved { prefix, job_known } => parts_removed_fields(prefix, *job_known),
             Event::JobAccepted { job }
             | Event::JobCancellationRecorded { job }
             | Event::JobCancelled { job }
@@ -67,6 +65,10 @@
     }
 }
 
+fn parts_removed_fields(prefix: &str, job_known: bool) -> Vec<Field<'_>> {
+    vec![field("prefix", prefix), field("job_known", job_known)]
+}
+
 /// The machine and one more field.
 fn machine_fields<'a>(machine: &'a str, other: Field<'a>) -> Vec<Field<'a>> {
     vec![field("machine", machine), other]
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -81,6 +81,13 @@
     Catalog,
 }
 
+/// The last numbers that a leader has assigned; 0 if it has assigned none.
+#[derive(Debug, Default)]
+struct LeaderNumbers {
+    attempt: u64,
+    placement_id: u64,
+}
+
 /// State of the leader. Times are in milliseconds on the monotonic clock.
 pub struct Leader {
     pub(crate) epoch: Epoch,
@@ -92,8 +99,7 @@
     /// Reason for stepping down; `None` while the leadership lasts.
     pub(crate) step_down: Option<StepDownReason>,
     pub(crate) elected_at_ms: u64,
-    pub(crate) last_attempt: u64,
-    last_placement_id: u64,
+    numbers: LeaderNumbers,
     /// Unfinished jobs by ID.
     pub(crate) jobs: BTreeMap<Id, Job>,
     next_status_at_ms: u64,
@@ -116,8 +122,7 @@
             active: false,
             step_down: None,
             elected_at_ms: now,
-            last_attempt: 0,
-            last_placement_id: 0,
+            numbers: LeaderNumbers::default(),
             jobs: BTreeMap::new(),
             next_status_at_ms: now,
             store: Store::new(now, ctx.limits.write_rate() * ctx.tuning.write_share),
@@ -236,14 +241,14 @@
 
     /// Returns a new attempt number, unique over all epochs.
     pub(crate) fn next_attempt(&mut self) -> Attempt {
-        self.last_attempt += 1;
-        Attempt::new(self.epoch, self.last_attempt)
+        self.numbers.attempt += 1;
+        Attempt::new(self.epoch, self.numbers.attempt)
     }
 
     /// Returns a new placement ID, unique within this process.
     pub(crate) fn next_placement_id(&mut self) -> u64 {
-        self.last_placement_id += 1;
-        self.last_placement_id
+        self.numbers.placement_id += 1;
+        self.numbers.placement_id
     }
 
     /// Numbers of done and running tasks of a job, for display.
