--- a/crates/core/src/leader/store/split_submissions/tests.rs
+++ b/crates/core/src/leader/store/split_submissions/tests.rs
@@ -1,14 +1,8 @@
 use super::*;
+use crate::model::samples::split_submission_record;
 
 fn read(job: &str, version: u64) -> SplitSubmissionRead {
-    let record = SplitSubmissionRecord {
-        parts_prefix: format!("s/{job}/n0-1-1/"),
-        tasks: 3,
-        accepted_at_ms: 1,
-        cancelled: false,
-        has_cancellation_key: false,
-    };
-    SplitSubmissionRead::new(record, Revision(version))
+    SplitSubmissionRead::new(split_submission_record(job), Revision(version))
 }
 
 #[test]
--- a/crates/core/src/leader/store/unreferenced/tests.rs
+++ b/crates/core/src/leader/store/unreferenced/tests.rs
@@ -1,8 +1,7 @@
 use super::*;
 use crate::leader::store::split_submissions::SplitSubmissionRead;
 use crate::leader::store::transaction::TransactionLimits;
-use crate::model::samples::job;
-use crate::records::SplitSubmissionRecord;
+use crate::model::samples::{job, split_submission_record};
 use shaleshunt_wire::kv::{KeyValue, Write};
 
 fn stored_parts(job: &str) -> Vec<KeyValue> {
@@ -18,14 +17,7 @@
 
 /// A read of the parts of [`parts`], to which a record refers that the leader's watch has just shown.
 fn read(job: &str) -> SplitSubmissionRead {
-    let record = SplitSubmissionRecord {
-        parts_prefix: format!("s/{job}/n0-1-1/"),
-        tasks: 1,
-        accepted_at_ms: 1,
-        cancelled: false,
-        has_cancellation_key: false,
-    };
-    SplitSubmissionRead::new(record, Revision(5))
+    SplitSubmissionRead::new(split_submission_record(job), Revision(5))
 }
 
 fn builder(writes: usize) -> TransactionBuilder {
--- a/crates/core/src/model/samples.rs
+++ b/crates/core/src/model/samples.rs
@@ -1,7 +1,7 @@
 //! Sample submissions, jobs, machines and placements for unit tests.
 
 use super::{CallInFlight, CallPurpose, Job, Machine, Placement, PlacementState};
-use crate::records::JobRecord;
+use crate::records::{JobRecord, SplitSubmissionRecord};
 use crate::time::Timestamp;
 use shaleshunt_wire::user::{JobKind, Priority, Submission};
 use shaleshunt_wire::{AgentEpoch, Attempt, Epoch, Resources, Revision};
@@ -75,6 +75,17 @@
     }
 }
 
+/// The record of a job whose submission of three tasks is stored in parts below `s/ID/n0-1-1/`.
+pub(crate) fn split_submission_record(id: &str) -> SplitSubmissionRecord {
+    SplitSubmissionRecord {
+        parts_prefix: format!("s/{id}/n0-1-1/"),
+        tasks: 3,
+        accepted_at_ms: 1,
+        cancelled: false,
+        has_cancellation_key: false,
+    }
+}
+
 /// Job `wk-1` with the given number of tasks, each of 1 CPU and 60 s.
 pub(crate) fn job(tasks: u32) -> Job {
     let submission = Submission { tasks, image_gb: 2.0, spot: true, ..submission("wk-1") };
