--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -54,6 +54,7 @@
 use election::{Claim, Election, ElectionTransition, Reachability};
 use peers::Peers;
 use progress::ControllerTaskCounts;
+use shaleshunt_wire::FencingToken;
 use shaleshunt_wire::worker::{Heartbeat, HeartbeatReply};
 use zone_leases::ZoneLeases;
 
@@ -204,7 +205,7 @@
     }
 
     fn become_leader(&mut self, claim: Claim) {
-        self.ctx.emit(Event::LeaderElected { epoch: claim.epoch });
+        self.ctx.emit(Event::LeaderElected { epoch: claim.epoch, token: FencingToken::new(claim.epoch, 0) });
         let leader = Leader::new(&mut self.ctx, claim.epoch, claim.epoch_version, claim.lease);
         self.leader = Some(Box::new(leader));
         self.peers.expedite_heartbeat(self.ctx.now_ms());
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -2,20 +2,22 @@
 //!
 //! The core emits events as effects, in order; the surrounding process writes them to the log.
 
+mod agent_event;
 mod fields;
 mod leader_status;
 mod severity;
 mod value;
 
 pub use crate::step_down::{ForeignWrite, StepDownReason};
+pub use agent_event::{AgentEvent, AttemptOnMachine, RefusedCall, StopReason};
 pub use leader_status::LeaderStatus;
 pub use severity::Severity;
 pub use value::EventValue;
 
 use crate::capacity::InsufficientSetting;
 use crate::model::Id;
-use shaleshunt_wire::Epoch;
 use shaleshunt_wire::worker::ExitCause;
+use shaleshunt_wire::{Epoch, FencingToken, Revision};
 use std::fmt;
 
 /// An event for the log.
@@ -25,6 +27,8 @@
     LeaderElected {
         /// New leader epoch, part of every fencing token that this leader issues.
         epoch: Epoch,
+        /// Lowest fencing token of the epoch.
+        token: FencingToken,
     },
     /// Recovery is complete: the new leader has read all records and begins to schedule.
     LeaderStateLoaded {
@@ -34,6 +38,10 @@
         jobs: usize,
         /// Number of known machines.
         machines: usize,
+        /// Revision at which the first records were read; later changes come with the watch.
+        revision: Revision,
+        /// Time since the election, in seconds.
+        seconds: f64,
     },
     /// This controller gives up leadership.
     LeaderSteppedDown {
@@ -127,6 +135,8 @@
         /// Cause that the agent reported.
         cause: ExitCause,
     },
+    /// Commands to agents, and tasks that agents report unexpectedly.
+    Agent(Box<AgentEvent>),
     /// Tasks on a machine are preempted to free capacity for a job of higher priority.
     TasksPreempted {
         /// Identifier of the machine.
@@ -213,7 +223,7 @@
 
 impl Event {
     /// Names of all events, in the order of the variants. `docs/operations.md` has an entry for each.
-    pub const NAMES: [&str; 33] = [
+    pub const NAMES: [&str; 40] = [
         "leader_elected",
         "leader_state_loaded",
         "leader_stepped_down",
@@ -234,6 +244,13 @@
         "job_cancelled_by_dependency",
         "job_offloaded",
         "task_failed",
+        "task_start_repeated",
+        "task_stop_sent",
+        "task_forget_sent",
+        "task_command_sent",
+        "task_without_placement",
+        "commands_refused",
+        "task_events_suppressed",
         "tasks_preempted",
         "machine_adopted",
         "machine_interruption_notice",
@@ -256,6 +273,7 @@
             | Event::RecordUnreadable { .. }
             | Event::SubmissionPartsUnreadable { .. }
             | Event::ScaleOutRejected { .. } => Severity::Error,
+            Event::Agent(event) => event.severity(),
             Event::LeaderElected { .. }
             | Event::LeaderStateLoaded { .. }
             | Event::LeaderSteppedDown { .. }
@@ -311,6 +329,7 @@
             Event::JobCancelledByDependency { .. } => "job_cancelled_by_dependency",
             Event::JobOffloaded { .. } => "job_offloaded",
             Event::TaskFailed { .. } => "task_failed",
+            Event::Agent(event) => event.name(),
             Event::TasksPreempted { .. } => "tasks_preempted",
             Event::MachineAdopted { .. } => "machine_adopted",
             Event::MachineInterruptionNotice { .. } => "machine_interruption_notice",
--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -16,9 +16,10 @@
     /// Fields of the event in the order in which they are logged.
     pub fn fields(&self) -> Vec<Field<'_>> {
         match self {
-            Event::LeaderElected { epoch } => vec![field("epoch", *epoch)],
-            Event::LeaderStateLoaded { epoch, jobs, machines } => {
-                vec![field("epoch", *epoch), field("jobs", *jobs), field("machines", *machines)]
+            Event::LeaderElected { epoch, token } => vec![field("epoch", *epoch), field("token", token.0)],
+            Event::LeaderStateLoaded { epoch, jobs, machines, revision, seconds } => {
+                let counts = vec![field("epoch", *epoch), field("jobs", *jobs), field("machines", *machines)];
+                counts.into_iter().chain([field("revision", revision.0), field("seconds", *seconds)]).collect()
             }
             Event::LeaderSteppedDown { epoch, reason } => step_down_fields(*epoch, reason),
             Event::LeaderStatus(status) => status.fields(),
@@ -39,6 +40,7 @@
             | Event::JobCancelledByDependency { job }
             | Event::JobOffloaded { job } => vec![field("job", &**job)],
             Event::TaskFailed { task, machine, cause } => task_failed_fields(task, machine, cause),
+            Event::Agent(event) => event.fields(),
             Event::TasksPreempted { machine, job, tasks } => {
                 vec![field("machine", &**machine), field("job", &**job), field("tasks", *tasks)]
             }
--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -1,9 +1,10 @@
 use super::*;
-use shaleshunt_wire::{Epoch, Revision};
+use shaleshunt_wire::worker::TaskStatus;
+use shaleshunt_wire::{AgentEpoch, Attempt, Epoch, FencingToken, Revision};
 use std::collections::BTreeSet;
 
-/// Number of variants of [`Event`].
-const VARIANT_COUNT: usize = 33;
+/// Number of variants of [`Event`], with those of [`AgentEvent`] in place of their common one.
+const VARIANT_COUNT: usize = 40;
 
 /// Index of an event among the samples. The match is exhaustive, so a new variant fails to compile until it is added
 /// here, and the tests fail until it is added to the samples.
@@ -29,22 +30,88 @@
         Event::JobCancelledByDependency { .. } => 17,
         Event::JobOffloaded { .. } => 18,
         Event::TaskFailed { .. } => 19,
-        Event::TasksPreempted { .. } => 20,
-        Event::MachineAdopted { .. } => 21,
-        Event::MachineInterruptionNotice { .. } => 22,
-        Event::MachineLeaseExpired { .. } => 23,
-        Event::MachineQuarantined { .. } => 24,
-        Event::MachineSlow { .. } => 25,
-        Event::ZoneUnreachable { .. } => 26,
-        Event::OwnedMachinesRecorded { .. } => 27,
-        Event::SettingTooSmall(_) => 28,
-        Event::ScaleOutGranted { .. } => 29,
-        Event::ScaleOutNoCapacity { .. } => 30,
-        Event::ScaleOutRejected { .. } => 31,
-        Event::ScaleInCompleted { .. } => 32,
+        Event::Agent(event) => 20 + agent_event_index(event),
+        Event::TasksPreempted { .. } => 27,
+        Event::MachineAdopted { .. } => 28,
+        Event::MachineInterruptionNotice { .. } => 29,
+        Event::MachineLeaseExpired { .. } => 30,
+        Event::MachineQuarantined { .. } => 31,
+        Event::MachineSlow { .. } => 32,
+        Event::ZoneUnreachable { .. } => 33,
+        Event::OwnedMachinesRecorded { .. } => 34,
+        Event::SettingTooSmall(_) => 35,
+        Event::ScaleOutGranted { .. } => 36,
+        Event::ScaleOutNoCapacity { .. } => 37,
+        Event::ScaleOutRejected { .. } => 38,
+        Event::ScaleInCompleted { .. } => 39,
     }
 }
 
+/// Index of an event about agents among the samples of these; exhaustive for the same reason as [`sample_index`].
+fn agent_event_index(event: &AgentEvent) -> usize {
+    match event {
+        AgentEvent::TaskStartRepeated(_) => 0,
+        AgentEvent::TaskStopSent(..) => 1,
+        AgentEvent::TaskForgetSent(..) => 2,
+        AgentEvent::TaskCommandSent(..) => 3,
+        AgentEvent::TaskWithoutPlacement(..) => 4,
+        AgentEvent::CommandsRefused(_) => 5,
+        AgentEvent::TaskEventsSuppressed { .. } => 6,
+    }
+}
+
+/// A sample of each event about agents with its severity and its log line.
+fn agent_samples() -> Vec<(Event, Severity, &'static str)> {
+    use Severity::{Debug, Info};
+    let attempt = || AttemptOnMachine {
+        task: "wk-000412/3".into(),
+        attempt: Attempt(9),
+        machine: "m-17".into(),
+        token: FencingToken(1_048_577),
+    };
+    let refused = RefusedCall {
+        machine: "m-17".into(),
+        token: FencingToken(1_048_577),
+        seen_token: FencingToken(2_097_152),
+        agent_epoch: AgentEpoch(1),
+        current_epoch: AgentEpoch(2),
+    };
+    let samples = [
+        (
+            AgentEvent::TaskStartRepeated(attempt()),
+            Info,
+            "event=task_start_repeated task=wk-000412/3 attempt=9 machine=m-17 token=1048577",
+        ),
+        (
+            AgentEvent::TaskStopSent(attempt(), StopReason::WithoutPlacement),
+            Info,
+            "event=task_stop_sent task=wk-000412/3 attempt=9 machine=m-17 token=1048577 reason=without_placement",
+        ),
+        (
+            AgentEvent::TaskForgetSent(attempt(), ExitCause::Error),
+            Info,
+            "event=task_forget_sent task=wk-000412/3 attempt=9 machine=m-17 token=1048577 cause=Error",
+        ),
+        (
+            AgentEvent::TaskCommandSent(attempt(), "start"),
+            Debug,
+            "event=task_command_sent task=wk-000412/3 attempt=9 machine=m-17 token=1048577 command=start",
+        ),
+        (
+            AgentEvent::TaskWithoutPlacement(attempt(), TaskStatus::Running),
+            Info,
+            "event=task_without_placement task=wk-000412/3 attempt=9 machine=m-17 token=1048577 status=Running",
+        ),
+        (
+            AgentEvent::CommandsRefused(refused),
+            Info,
+            "event=commands_refused machine=m-17 token=1048577 seen_token=2097152 agent_epoch=1 current_epoch=2",
+        ),
+        (AgentEvent::TaskEventsSuppressed { events: 12 }, Info, "event=task_events_suppressed events=12"),
+    ];
+    samples.map(|(event, severity, line)| (Event::Agent(Box::new(event)), severity, line)).into()
+}
+
 /// A sample of each event with its severity and its log line.
 #[allow(clippy::too_many_lines, reason = "a table with an entry for each event")]
 fn samples() -> Vec<(Event, Severity, &'static str)> {
@@ -72,12 +139,22 @@
         pages: 14,
         transaction_in_flight: true,
     };
-    vec![
-        (Event::LeaderElected { epoch: Epoch(7) }, Info, "event=leader_elected epoch=7"),
+    let mut samples = vec![
         (
-            Event::LeaderStateLoaded { epoch: Epoch(7), jobs: 408, machines: 85 },
+            Event::LeaderElected { epoch: Epoch(7), token: FencingToken(7_340_032) },
             Info,
-            "event=leader_state_loaded epoch=7 jobs=408 machines=85",
+            "event=leader_elected epoch=7 token=7340032",
+        ),
+        (
+            Event::LeaderStateLoaded {
+                epoch: Epoch(7),
+                jobs: 408,
+                machines: 85,
+                revision: Revision(231),
+                seconds: 0.25,
+            },
+            Info,
+            "event=leader_state_loaded epoch=7 jobs=408 machines=85 revision=231 seconds=0.25",
         ),
         (
             Event::LeaderSteppedDown { epoch: Epoch(7), reason: StepDownReason::ForeignWrite(foreign) },
@@ -177,7 +254,10 @@
             "event=scale_out_rejected request=h-7-1 reason=\"\"",
         ),
         (Event::ScaleInCompleted { machine }, Debug, "event=scale_in_completed machine=m-17"),
-    ]
+    ];
+    let after_failed_tasks = samples.iter().position(|(event, ..)| event.name() == "tasks_preempted").unwrap();
+    samples.splice(after_failed_tasks..after_failed_tasks, agent_samples());
+    samples
 }
 
 #[test]
--- a/crates/core/src/leader/direct_calls.rs
+++ b/crates/core/src/leader/direct_calls.rs
@@ -63,15 +63,26 @@
     pub(crate) fn call(&mut self, ctx: &mut Context, id: &Id, purpose: CallPurpose) {
         let MachineCommands { commands, starts } = self.take_commands(id, CommandChannel::DirectCall);
         let pending = self.pending_request(LeaderRequest::DirectCommands(id.clone()));
-        let Some(m) = self.fleet.machines.get_mut(id) else { return };
+        let Some(m) = self.fleet.machines.get(id) else { return };
         let is_confirmed = m.agent.token_confirmed && m.agent.unacknowledged_commands == 0;
         if commands.is_empty() && is_confirmed && purpose == CallPurpose::SendCommands {
             return;
         }
         let has_commands = !commands.is_empty();
-        let body = DirectCommands { token: m.agent.token(self.epoch), agent_epoch: m.agent.epoch, commands };
+        let (token, agent_epoch) = (m.agent.token(self.epoch), m.agent.epoch);
+        self.log_commands(ctx, id, token, &commands);
+        let Some(m) = self.fleet.machines.get_mut(id) else { return };
+        let body = DirectCommands { token, agent_epoch, commands };
         let request = ctx.send_direct_commands(m.agent.endpoint.clone(), body, pending);
-        m.call.begin(CallInFlight { request, purpose, has_commands, first_starts: starts, follow_up_needed: false });
+        m.call.begin(CallInFlight {
+            request,
+            purpose,
+            token,
+            agent_epoch,
+            has_commands,
+            first_starts: starts,
+            follow_up_needed: false,
+        });
         if purpose == CallPurpose::ConfirmToken {
             self.fleet.calls.confirmation_started();
         }
@@ -92,7 +103,9 @@
         }
         let follow_up_needed = call.follow_up_needed;
         let call_again = match result {
-            Ok(DirectCommandsReply::Executed(heartbeat) | DirectCommandsReply::Fenced(heartbeat)) => {
+            Ok(DirectCommandsReply::Executed(heartbeat)) => self.direct_call_answered(ctx, machine, heartbeat),
+            Ok(DirectCommandsReply::Fenced(heartbeat)) => {
+                self.log_refused_call(ctx, &call, &heartbeat);
                 self.direct_call_answered(ctx, machine, heartbeat)
             }
             Err(error) => {
--- a/crates/core/src/leader/fleet/commands/tests.rs
+++ b/crates/core/src/leader/fleet/commands/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::model::{CallInFlight, CallPurpose, samples};
-use shaleshunt_wire::Attempt;
 use shaleshunt_wire::worker::ExitCause;
+use shaleshunt_wire::{AgentEpoch, Attempt, FencingToken};
 
 fn attempt() -> Attempt {
     samples::attempt(9)
@@ -77,6 +77,8 @@
     machine.call.begin(CallInFlight {
         request: 1,
         purpose: CallPurpose::ConfirmToken,
+        token: FencingToken::default(),
+        agent_epoch: AgentEpoch::NONE,
         has_commands: false,
         first_starts: Vec::new(),
         follow_up_needed: false,
--- a/crates/core/src/leader/fleet/mod.rs
+++ b/crates/core/src/leader/fleet/mod.rs
@@ -12,6 +12,7 @@
 
 pub(crate) mod calls;
 pub(crate) mod commands;
+pub(crate) mod event_budget;
 pub(crate) mod health;
 pub(crate) mod heartbeat_effects;
 pub(crate) mod images;
@@ -25,6 +26,7 @@
 pub(crate) mod slow_machines;
 
 use crate::leader::fleet::calls::CallQueue;
+use crate::leader::fleet::event_budget::EventBudget;
 use crate::leader::fleet::images::ImageNames;
 use crate::leader::fleet::machines::MachineIndex;
 use crate::leader::fleet::reachability::Reachability;
@@ -41,6 +43,8 @@
     pub(crate) calls: CallQueue,
     /// Heartbeat state of each zone.
     pub(crate) reachability: Reachability,
+    /// Number of events about single tasks that may be logged.
+    pub(crate) events: EventBudget,
 }
 
 impl Fleet {
@@ -51,6 +55,7 @@
             images: ImageNames::default(),
             calls: CallQueue::default(),
             reachability: Reachability::new(now),
+            events: EventBudget::new(now),
         }
     }
 
--- a/crates/core/src/leader/heartbeats.rs
+++ b/crates/core/src/leader/heartbeats.rs
@@ -59,6 +59,7 @@
             token = m.agent.token(self.epoch);
             m.agent.reply_may_start_tasks |= commands.iter().any(|c| matches!(c, TaskCommand::Run { .. }));
         }
+        self.log_commands(ctx, &machine, token, &commands);
         ctx.answer(id, Answer::Heartbeat(HeartbeatReply { token, commands }));
     }
 
@@ -181,7 +182,7 @@
     /// Compares a heartbeat with the placements on the machine and applies the findings.
     fn reconcile_heartbeat(
         &mut self,
-        ctx: &Context,
+        ctx: &mut Context,
         machine: &Id,
         heartbeat: &Heartbeat,
         source: HeartbeatSource,
@@ -194,7 +195,7 @@
         let reconciliation = reconcile(&m.placements, &heartbeat.tasks, evidence);
         let disk_gb = disk_gb(ctx, m);
         let effects = apply_findings(m, &mut self.jobs, &reconciliation.findings, disk_gb, ctx.now.monotonic_ms);
-        m.agent.unexpected_tasks = reconciliation.unexpected;
+        let known = std::mem::replace(&mut m.agent.unexpected_tasks, reconciliation.unexpected);
         if reconciliation.start_acknowledged {
             m.agent.record_acknowledged_command();
         } else if effects.start_lost && reply_carried_out {
@@ -203,6 +204,9 @@
         if effects.start_lost {
             self.fleet.calls.call_soon(machine.clone());
         }
+        if token_is_current {
+            self.log_tasks_without_placement(ctx, heartbeat, machine, &known);
+        }
         effects
     }
 
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -9,6 +9,7 @@
 //! of the epoch that sent the request; once `step_down` is set, the controller ends the leadership after the
 //! batch. Only the controller calls into this module.
 
+mod agent_events;
 pub(crate) mod autoscaler;
 mod commit;
 mod direct_calls;
@@ -215,6 +216,7 @@
 
     /// Emits the status event for operators: the amount of work, and what delays it.
     fn emit_status(&mut self, ctx: &mut Context) {
+        self.log_suppressed_events(ctx);
         debug_assert!(self.fleet.machines.is_consistent(), "the index of machines by free cores is inconsistent");
         let waiting: u32 = self.jobs.values().filter(|job| !job.cancelled).map(Job::waiting_task_count).sum();
         let machines = self.fleet.machines.values();
--- a/crates/core/src/leader/recovery/restore.rs
+++ b/crates/core/src/leader/recovery/restore.rs
@@ -36,6 +36,8 @@
             epoch: self.epoch,
             jobs: self.jobs.len(),
             machines: self.fleet.machines.len(),
+            revision: self.watch.revision(),
+            seconds: ctx.now.monotonic_ms.saturating_sub(self.elected_at_ms) as f64 / 1000.0,
         });
         self.watch_jobs(ctx);
     }
--- a/crates/core/src/leader/watch/mod.rs
+++ b/crates/core/src/leader/watch/mod.rs
@@ -58,6 +58,11 @@
         self.revision.get_or_insert(revision);
     }
 
+    /// Revision up to which changes have been seen; [`Revision::ABSENT`] if no record has been read.
+    pub(crate) fn revision(&self) -> Revision {
+        self.revision.unwrap_or(Revision::ABSENT)
+    }
+
     /// Records that the end of a job was written at `revision`.
     pub(crate) fn job_ended(&mut self, job: Id, revision: Revision) {
         self.ended_jobs.insert(job, revision);
@@ -89,7 +94,7 @@
     /// Sends a watch request for changes to unfinished jobs.
     pub(crate) fn watch_jobs(&mut self, ctx: &mut Context) {
         self.watch.retry_at_ms = None;
-        let after = self.watch.revision.unwrap_or(Revision::ABSENT);
+        let after = self.watch.revision();
         let max_wait_ms = ctx.settings.heartbeat_interval_ms() / WATCHES_PER_HEARTBEAT;
         let wait = self.pending_request(LeaderRequest::WatchJobs);
         ctx.send_kv(KvRequest::Watch { prefix: keys::JOBS.into(), after, max_wait_ms }, wait);
--- a/crates/core/src/model/direct_call.rs
+++ b/crates/core/src/model/direct_call.rs
@@ -1,6 +1,7 @@
 //! The direct call to a machine's agent. At most one is in flight per machine.
 
 use crate::request_id::RequestId;
+use shaleshunt_wire::{AgentEpoch, FencingToken};
 
 /// Purpose of a direct call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -18,6 +19,10 @@
     pub request: RequestId,
     /// Why the call was made.
     pub purpose: CallPurpose,
+    /// Fencing token of the call.
+    pub token: FencingToken,
+    /// Agent epoch that the call is for.
+    pub agent_epoch: AgentEpoch,
     /// Whether the call carries commands.
     pub has_commands: bool,
     /// Placements whose first `run` command is in this call and has been sent no other way since. They can be released
--- a/crates/core/src/model/direct_call/tests.rs
+++ b/crates/core/src/model/direct_call/tests.rs
@@ -1,9 +1,12 @@
 use super::*;
+use shaleshunt_wire::{AgentEpoch, FencingToken};
 
 fn call(request: RequestId) -> CallInFlight {
     CallInFlight {
         request,
         purpose: CallPurpose::SendCommands,
+        token: FencingToken::default(),
+        agent_epoch: AgentEpoch::NONE,
         has_commands: true,
         first_starts: vec![7, 8],
         follow_up_needed: false,
--- a/crates/core/src/model/samples.rs
+++ b/crates/core/src/model/samples.rs
@@ -4,7 +4,7 @@
 use crate::records::{JobRecord, SplitSubmissionRecord};
 use crate::time::Timestamp;
 use shaleshunt_wire::user::{JobKind, Priority, Submission};
-use shaleshunt_wire::{AgentEpoch, Attempt, Epoch, Resources, Revision};
+use shaleshunt_wire::{AgentEpoch, Attempt, Epoch, FencingToken, Resources, Revision};
 
 /// Agent epoch of the sample placements.
 pub(crate) const AGENT_EPOCH: AgentEpoch = AgentEpoch(5);
@@ -24,6 +24,8 @@
     machine.call.begin(CallInFlight {
         request: 1,
         purpose: CallPurpose::SendCommands,
+        token: FencingToken::default(),
+        agent_epoch: AgentEpoch::NONE,
         has_commands: true,
         first_starts: Vec::new(),
         follow_up_needed: false,
--- a/crates/core/src/model/task_progress.rs
+++ b/crates/core/src/model/task_progress.rs
@@ -5,7 +5,7 @@
 //! any placement and is not done.
 
 use super::{TaskPlacement, TaskSet};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Progress of a job's tasks.
 #[derive(Debug)]
@@ -17,6 +17,8 @@
     placements: BTreeMap<u32, Vec<TaskPlacement>>,
     placed_count: u32,
     running_count: u32,
+    /// Tasks that are not done and of which a committed placement was released.
+    released: BTreeSet<u32>,
     started: bool,
     /// No task below this number is free.
     first_free_hint: u32,
@@ -57,6 +59,7 @@
             placements: BTreeMap::new(),
             placed_count: 0,
             running_count: 0,
+            released: BTreeSet::new(),
             started: false,
             first_free_hint: 0,
             by_zone: BTreeMap::new(),
@@ -105,10 +108,16 @@
         self.first_free_hint = self.first_free_hint.max(task);
     }
 
+    /// Whether this leader has released a committed placement of the task, which is not done.
+    pub fn was_released(&self, task: u32) -> bool {
+        self.released.contains(&task)
+    }
+
     /// Marks a task as done. Returns false if it was done already or does not exist.
     pub fn mark_done(&mut self, task: u32) -> bool {
         let newly_done = task < self.total && self.done.insert(task);
         if newly_done {
+            self.released.remove(&task);
             self.done_count += 1;
             if self.placements.contains_key(&task) {
                 self.placed_count = self.placed_count.saturating_sub(1);
@@ -145,7 +154,11 @@
     /// Removes a placement of a task that is proven gone from a zone.
     pub fn remove_placement(&mut self, task: u32, placement_id: u64, zone: &str, was_running: bool) {
         if let Some(task_placements) = self.placements.get_mut(&task) {
-            task_placements.retain(|placement| placement.placement_id != placement_id);
+            let is_removed = |placement: &TaskPlacement| placement.placement_id == placement_id;
+            if !self.done.contains(task) && task_placements.iter().any(|p| is_removed(p) && !p.planned) {
+                self.released.insert(task);
+            }
+            task_placements.retain(|placement| !is_removed(placement));
             if task_placements.is_empty() {
                 self.placements.remove(&task);
                 self.first_free_hint = self.first_free_hint.min(task);
