--- a/crates/load-test/src/site.rs
+++ b/crates/load-test/src/site.rs
@@ -161,6 +161,7 @@
         let zone = zone_name(number % CONTROLLER_COUNT);
         let id = cloud.borrow_mut().create(0, Offer::on_demand(&machine_type.name, &zone), Some(0));
         let machine = Machine {
+            address: id.clone(),
             id,
             machine_type: machine_type.name.clone(),
             zone,
--- a/crates/simulation/src/agent.rs
+++ b/crates/simulation/src/agent.rs
@@ -18,8 +18,10 @@
 /// A machine as the cloud has granted it.
 #[derive(Debug, Clone)]
 pub struct Machine {
-    /// Name of the machine, which is also the address of its agent.
+    /// Name of the machine.
     pub id: String,
+    /// Address of its agent.
+    pub address: String,
     /// Name of the machine type.
     pub machine_type: String,
     /// Zone in which the machine runs.
@@ -195,7 +197,7 @@
         }
         Heartbeat {
             machine: self.machine.id.clone(),
-            endpoint: self.machine.id.clone(),
+            endpoint: self.machine.address.clone(),
             machine_type: self.machine.machine_type.clone(),
             zone: self.machine.zone.clone(),
             spot: self.machine.spot,
--- a/crates/simulation/src/agent/tasks.rs
+++ b/crates/simulation/src/agent/tasks.rs
@@ -1,6 +1,7 @@
 //! Changes on a machine over time: image fetches complete, tasks start and exit, the machine lease expires.
 
-use super::{Agent, MachineFaults, TaskAttempt, TaskEvent};
+use super::{Agent, HeartbeatState, MachineFaults, TaskAttempt, TaskEvent};
+use shaleshunt_wire::FencingToken;
 use shaleshunt_wire::user::{JobKind, Submission};
 use shaleshunt_wire::worker::{ExitCause, TaskStatus, split_task_name};
 use std::collections::{BTreeMap, BTreeSet};
@@ -53,6 +54,15 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Restarts the machine, which is up again at `up_at_ms`: its tasks have stopped, and its agent begins the next
+    /// agent epoch without the fencing token that it had seen.
+    pub fn restart(&mut self, up_at_ms: u64) {
+        self.expire_lease(up_at_ms);
+        self.token = FencingToken::default();
+        self.heartbeats = HeartbeatState { next_at_ms: up_at_ms, ..HeartbeatState::default() };
+        self.faults.hung_until_ms = up_at_ms;
+    }
+
     /// Stops all tasks and begins a new agent epoch.
     fn expire_lease(&mut self, now: u64) {
         self.stop_all_tasks();
--- a/crates/simulation/src/process.rs
+++ b/crates/simulation/src/process.rs
@@ -14,4 +14,9 @@
     pub fn discarding_reply(self) -> ProcessId {
         ProcessId { incarnation: 0, ..self }
     }
+
+    /// Whether the sender waits for a reply, which it does unless [`ProcessId::discarding_reply`] replaced it.
+    pub fn expects_replies(self) -> bool {
+        self.incarnation != 0
+    }
 }
--- a/crates/simulation/src/scenario/grammar.rs
+++ b/crates/simulation/src/scenario/grammar.rs
@@ -81,6 +81,7 @@
                     other => return Err(SyntaxError::unexpected("`start` or `finish`", other)),
                 }
             }
+            "reuse-addresses" => self.machines.reuse_addresses = true,
             "previous-version" => site.version = ProgramVersion::Previous,
             other => return Err(SyntaxError::unexpected("a kind of line", other)),
         }
--- a/crates/simulation/src/scenario/grammar/fault.rs
+++ b/crates/simulation/src/scenario/grammar/fault.rs
@@ -6,7 +6,8 @@
 use crate::scenario::words::{Words, parse_number};
 use crate::simulation::{
     CloudFault, ControllerChoice, ControllerFault, DuplicateArrival, Fault, JobFault, LinkFault, MachineChoice,
-    MachineFault, PartitionScope, PartitionedMessages, StoreFault, TransactionExecution,
+    MachineFault, PartitionScope, PartitionedMessages, RepeatedKind, Repetition, RepetitionFault, StoreFault,
+    TransactionExecution,
 };
 
 /// Description of a fault in errors about a missing or unknown name.
@@ -29,6 +30,9 @@
     if let Some(fault) = cloud_fault(name, words)? {
         return Ok(Fault::Cloud(fault));
     }
+    if name == "repeat-requests" {
+        return Ok(Fault::Repetition(repetition(words)?));
+    }
     match job_fault(name, words)? {
         Some(fault) => Ok(Fault::Job(fault)),
         None => Err(SyntaxError::unexpected(EXPECTED, name)),
@@ -130,6 +134,12 @@
             words.expect_keyword("factor")?;
             MachineFault::Slow { machine, duration_ms, factor: words.number("the factor of the task run time")? }
         }
+        "restart" => {
+            let machines = machines(words)?;
+            words.expect_keyword("after")?;
+            let restart_after_ms = words.seconds_as_ms("the time until the machines are up in seconds")?;
+            MachineFault::Restart { machines, restart_after_ms }
+        }
         "lose" => MachineFault::Lose { machines: machines(words)? },
         "lose-machine-of" => MachineFault::LoseMachineOfTask { task: words.text("a task")? },
         "reclaim" => {
@@ -171,6 +181,20 @@
     }))
 }
 
+/// Parses `KIND PERCENT for SECONDS by SECONDS to SECONDS`.
+fn repetition(words: &mut Words) -> Result<RepetitionFault, SyntaxError> {
+    const EXPECTED: &str = "`direct-calls`, `store-writes`, `cloud-changes` or `user-changes`";
+    let found = words.next(EXPECTED)?;
+    let kind = RepeatedKind::from_name(found).ok_or_else(|| SyntaxError::unexpected(EXPECTED, found))?;
+    let percent = words.number("a percentage")?;
+    let duration_ms = duration(words)?;
+    let shortest_ms = delay(words)?;
+    words.expect_keyword("to")?;
+    let longest_ms = words.seconds_as_ms("the longest delay in seconds")?;
+    let repetition = Repetition { kind, percent, delay_ms: shortest_ms..=longest_ms.max(shortest_ms) };
+    Ok(RepetitionFault { repetition, duration_ms })
+}
+
 /// Parses `for SECONDS` and returns the duration in ms.
 fn duration(words: &mut Words) -> Result<u64, SyntaxError> {
     words.expect_keyword("for")?;
--- a/crates/simulation/src/scenario/model.rs
+++ b/crates/simulation/src/scenario/model.rs
@@ -58,6 +58,8 @@
     pub(super) types: Vec<MachineType>,
     pub(super) capacity: Vec<Capacity>,
     pub(super) owned: Vec<OwnedMachines>,
+    /// Whether a new machine gets the address of one that is gone.
+    pub(super) reuse_addresses: bool,
 }
 
 /// The state before the simulation starts.
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -14,6 +14,7 @@
 mod inject;
 mod network;
 mod previous_version;
+mod repetition;
 mod requests;
 mod store_traffic;
 mod temporary;
@@ -23,9 +24,10 @@
 pub use controllers::ProgramVersion;
 pub use fault::{
     CloudFault, ControllerChoice, ControllerFault, DuplicateArrival, Fault, JobFault, LinkFault, MachineChoice,
-    MachineFault, StoreFault, TransactionExecution,
+    MachineFault, RepetitionFault, StoreFault, TransactionExecution,
 };
 pub use network::{PartitionScope, PartitionedMessages};
+pub use repetition::{RepeatedKind, Repetition};
 pub use users::{PlannedJob, SubmitWhen, User};
 
 use crate::checker::Checker;
@@ -39,6 +41,7 @@
 use network::Network;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use repetition::Repetitions;
 use requests::Requests;
 use shaleshunt_core::io::Command;
 use shaleshunt_core::{Settings, Tuning};
@@ -96,6 +99,7 @@
     agents: Agents,
     users: Users,
     requests: Requests,
+    repetitions: Repetitions,
     fault_schedule: FaultSchedule,
     /// Checker of the protocol's rules.
     pub checker: Checker,
@@ -131,6 +135,7 @@
             agents: Agents::default(),
             users: Users::default(),
             requests: Requests::default(),
+            repetitions: Repetitions::new(seed),
             fault_schedule: FaultSchedule::default(),
             checker,
             recording: Recording::default(),
@@ -155,8 +160,8 @@
             Event::Tick => self.tick(),
             Event::StoreRequest { from, id, request } => self.handle_at_store(from, id, request),
             Event::CloudRequest { from, id, request } => self.handle_at_cloud(from, id, request),
-            Event::AgentCommands { from, id, agent, commands } => {
-                self.deliver_direct_commands(from, id, agent, commands)
+            Event::AgentCommands { from, id, address, commands } => {
+                self.deliver_direct_commands(from, id, &address, commands)
             }
             Event::Message { to, command } => self.deliver_message(to, command),
             Event::RequestTimeout { from, id, kind } => self.time_out_request(from, id, kind),
@@ -169,6 +174,9 @@
             Event::ControllerStart(index) => self.start_controller(index),
             Event::UserStep(job) => self.user_step(&job),
             Event::UserProbe { job, controller, request } => self.user_probe(job, controller, request),
+            Event::RepeatedUserRequest { job, controller, request } => {
+                self.repeat_user_request(job, controller, request)
+            }
             Event::FaultBegins(index) => self.begin_fault(index),
         }
     }
--- a/crates/simulation/src/simulation/event.rs
+++ b/crates/simulation/src/simulation/event.rs
@@ -25,8 +25,8 @@
     StoreRequest { from: ProcessId, id: u64, request: KvRequest },
     /// A request reaches the cloud.
     CloudRequest { from: ProcessId, id: u64, request: CloudRequest },
-    /// Direct commands reach an agent.
-    AgentCommands { from: ProcessId, id: u64, agent: String, commands: DirectCommands },
+    /// Direct commands reach the agent at an address.
+    AgentCommands { from: ProcessId, id: u64, address: String, commands: DirectCommands },
     /// A message from a service, agent or peer reaches a controller process.
     Message { to: ProcessId, command: Command },
     /// A controller's request times out, unless a reply has closed the request.
@@ -41,6 +41,8 @@
     UserStep(String),
     /// A user sends a probe request for a job to one controller.
     UserProbe { job: String, controller: usize, request: ProbeRequest },
+    /// A change that a user requested reaches the controller once more.
+    RepeatedUserRequest { job: String, controller: usize, request: UserChange },
     /// The fault with this index in the schedule begins.
     FaultBegins(usize),
 }
@@ -53,6 +55,13 @@
     Resubmission,
 }
 
+/// A change that a user requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) enum UserChange {
+    Submission,
+    Cancellation,
+}
+
 /// An event with its time; events at the same time are ordered as they were scheduled.
 struct ScheduledEvent {
     at_ms: u64,
--- a/crates/simulation/src/simulation/fault.rs
+++ b/crates/simulation/src/simulation/fault.rs
@@ -3,6 +3,7 @@
 mod duration;
 
 use super::network::{PartitionScope, PartitionedMessages};
+use super::repetition::Repetition;
 use shaleshunt_core::settings::StoreQuota;
 
 /// Range of the delay of a late transaction whose answer is lost, in ms.
@@ -65,6 +66,17 @@
     Cloud(CloudFault),
     /// A fault of a job, or requests of users at times that provoke races.
     Job(JobFault),
+    /// Requests that were executed and answered arrive once more.
+    Repetition(RepetitionFault),
+}
+
+/// Requests of one kind that were executed and answered arrive once more.
+#[derive(Debug, Clone)]
+pub struct RepetitionFault {
+    /// Requests that are repeated.
+    pub repetition: Repetition,
+    /// Duration of the fault, in ms; the copies may arrive later.
+    pub duration_ms: u64,
 }
 
 /// A fault of controllers, or of their connections.
@@ -247,6 +259,13 @@
         /// Factor by which the tasks' run time is multiplied.
         factor: u32,
     },
+    /// Machines restart: their tasks are gone, and their agents begin the next agent epoch.
+    Restart {
+        /// Affected machines.
+        machines: MachineChoice,
+        /// Time until the machines are up again, in ms.
+        restart_after_ms: u64,
+    },
     /// Machines fail without notice.
     Lose {
         /// Affected machines.
--- a/crates/simulation/src/simulation/fault/duration.rs
+++ b/crates/simulation/src/simulation/fault/duration.rs
@@ -16,6 +16,7 @@
             Fault::Machine(fault) => fault.duration_ms(),
             Fault::Cloud(fault) => fault.duration_ms(),
             Fault::Job(fault) => fault.duration_ms(),
+            Fault::Repetition(fault) => fault.duration_ms + fault.repetition.delay_ms.end(),
         }
     }
 }
@@ -66,6 +67,7 @@
             MachineFault::Hang { duration_ms: ms, .. }
             | MachineFault::FailTasks { duration_ms: ms, .. }
             | MachineFault::Slow { duration_ms: ms, .. }
+            | MachineFault::Restart { restart_after_ms: ms, .. }
             | MachineFault::Reclaim { notice_ms: ms, .. } => *ms,
             MachineFault::Lose { .. } | MachineFault::LoseMachineOfTask { .. } => 0,
         }
--- a/crates/simulation/src/simulation/inject.rs
+++ b/crates/simulation/src/simulation/inject.rs
@@ -40,6 +40,10 @@
             Fault::Machine(fault) => self.inject_machine_fault(fault),
             Fault::Cloud(fault) => self.inject_cloud_fault(fault),
             Fault::Job(fault) => self.inject_job_fault(fault),
+            Fault::Repetition(fault) => {
+                let until_ms = self.queue.now() + fault.duration_ms;
+                self.repetitions.begin(fault.repetition, until_ms);
+            }
         }
     }
 
@@ -157,6 +161,11 @@
                     }
                 }
             }
+            MachineFault::Restart { machines, restart_after_ms } => {
+                for machine in self.agents.select(&machines) {
+                    self.restart_machine(&machine, now + restart_after_ms);
+                }
+            }
             MachineFault::FailTasks { machine, duration_ms } => {
                 if let Some(agent) = self.agents.running.get_mut(&machine) {
                     agent.faults.fails_tasks_until_ms = now + duration_ms;
@@ -184,6 +193,13 @@
         }
     }
 
+    fn restart_machine(&mut self, machine: &str, up_at_ms: u64) {
+        if let Some(agent) = self.agents.running.get_mut(machine) {
+            agent.restart(up_at_ms);
+        }
+        self.report_events_to_checker(machine);
+    }
+
     fn machine_running(&self, task: &str) -> Option<String> {
         let runs = |name: &&String| {
             let attempts = self.agents.running[*name].tasks.get(task).into_iter().flatten();
--- a/crates/simulation/src/simulation/users.rs
+++ b/crates/simulation/src/simulation/users.rs
@@ -1,8 +1,9 @@
 //! Users, who submit jobs, poll their status, cancel some of them, and probe some at all controllers at once.
 
 use super::Simulation;
-use super::event::{Event, ProbeRequest};
+use super::event::{Event, ProbeRequest, UserChange};
 use super::network::PartitionScope;
+use super::repetition::RepeatedKind;
 use super::requests::Requester;
 use super::temporary::TemporaryProbability;
 use crate::agent::Agent;
@@ -170,6 +171,33 @@
         let Some(command) = self.next_command(job, id) else { return };
         self.requests.register(id, Requester::User { job: job.into(), asked_at_ms: now });
         self.queue.schedule(now + ANSWER_TIMEOUT_MS, Event::UserStep(job.into()));
+        self.schedule_user_repetitions(job, controller, &command);
+        self.step(controller, command);
+    }
+
+    fn schedule_user_repetitions(&mut self, job: &str, controller: usize, command: &Command) {
+        let request = match command {
+            Command::Submit(..) => UserChange::Submission,
+            Command::Cancel(..) => UserChange::Cancellation,
+            _ => return,
+        };
+        let event = || Event::RepeatedUserRequest { job: job.into(), controller, request };
+        self.schedule_repetitions(RepeatedKind::UserChanges, event);
+    }
+
+    /// Delivers the copy of a user's request, whose answer nobody awaits.
+    pub(super) fn repeat_user_request(&mut self, job: String, controller: usize, request: UserChange) {
+        if !self.user_reaches(controller) {
+            return;
+        }
+        let id = self.requests.next_id();
+        let command = match request {
+            UserChange::Submission => {
+                let Some(user) = self.users.by_job.get(&job) else { return };
+                Command::Submit(id, Box::new(user.job.spec.clone()))
+            }
+            UserChange::Cancellation => Command::Cancel(id, job),
+        };
         self.step(controller, command);
     }
 
--- a/crates/simulation/tests/checker.rs
+++ b/crates/simulation/tests/checker.rs
@@ -33,6 +33,7 @@
 fn machine_in(id: &str, zone: &str) -> Machine {
     Machine {
         id: id.into(),
+        address: id.into(),
         machine_type: "f".into(),
         zone: zone.into(),
         spot: false,
--- a/crates/simulation/tests/scenario_language.rs
+++ b/crates/simulation/tests/scenario_language.rs
@@ -44,6 +44,12 @@
             "night.txt, line 1: expected a count, `at-least` or `at-most`, found `few`, which is not a valid number",
         ),
         ("expect all well", "night.txt, line 1: expected `served` or `over`, found `well`"),
+        (
+            "at 5 repeat-requests heartbeats 50 for 9 by 1 to 2",
+            "expected `direct-calls`, `store-writes`, `cloud-changes` or `user-changes`, found `heartbeats`",
+        ),
+        ("at 5 repeat-requests direct-calls 50 for 9 by 1", "expected to, found the end of the line"),
+        ("at 5 restart first:2 for 1", "night.txt, line 1: expected `after`, found `for`"),
         ("store j/wk-1 {", "night.txt, line 1: expected a JSON value for the key `j/wk-1`"),
     ];
     for (text, expected) in cases {
