--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -345,6 +345,7 @@
         (StepDownReason::TransactionRejected, "transaction_rejected"),
         (StepDownReason::ForeignWrite(foreign), "foreign_write"),
         (StepDownReason::NoHeartbeats, "no_heartbeats"),
+        (StepDownReason::NumbersExhausted, "numbers_exhausted"),
     ];
     for (reason, name) in reasons {
         assert_eq!(reason.name(), name);
--- a/crates/core/src/leader/direct_calls.rs
+++ b/crates/core/src/leader/direct_calls.rs
@@ -7,8 +7,9 @@
 use crate::leader::fleet::commands::{CommandChannel, MachineCommands, commands_for};
 use crate::leader::heartbeats::HeartbeatSource;
 use crate::leader::{Leader, LeaderRequest};
-use crate::model::{CallInFlight, CallPurpose, Id, Placement, PlacementState};
-use shaleshunt_wire::worker::{DirectCommands, Heartbeat};
+use crate::model::{CallInFlight, CallPurpose, Fencing, Id, Machine, Placement, PlacementState, TokenExhausted};
+use crate::step_down::StepDownReason;
+use shaleshunt_wire::worker::{DirectCommands, Heartbeat, TaskCommand};
 
 /// After a failed call, the next call waits for a heartbeat interval divided by this number.
 const INITIAL_BACKOFFS_PER_HEARTBEAT: u64 = 3;
@@ -16,21 +17,26 @@
 const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 
 impl Leader {
-    /// Returns the commands that a machine needs now, and records which start commands are thereby sent.
+    /// Returns the commands that a machine needs now, and records which start commands are thereby sent. The token is
+    /// raised if it would not fence off a start command of an attempt that the machine is to forget.
     pub(crate) fn take_commands(&mut self, machine: &Id, channel: CommandChannel) -> MachineCommands {
         let jobs = &self.jobs;
         let Some(m) = self.fleet.machines.get_mut(machine) else { return MachineCommands::default() };
         let outcome_pending =
             |job: &str, task: u32| jobs.get(job).is_some_and(|job| job.writes.tasks.contains_key(&task));
-        let planned = commands_for(m, channel, outcome_pending);
+        let mut planned = commands_for(m, channel, outcome_pending);
         for placement_id in &planned.starts {
-            if channel == CommandChannel::HeartbeatReply {
-                m.call.remove_first_start(*placement_id);
+            match channel {
+                CommandChannel::HeartbeatReply => m.call.remove_first_start(*placement_id),
+                CommandChannel::DirectCall => m.record_direct_start(*placement_id),
             }
             if let Some(placement) = m.placement_mut(*placement_id) {
                 placement.start_sent = true;
             }
         }
+        if fence_forgotten_attempts(m, &mut planned.commands).is_err() {
+            self.step_down = Some(StepDownReason::NumbersExhausted);
+        }
         planned
     }
 
@@ -157,7 +163,9 @@
         } else if call.has_commands {
             // The commands may still reach the agent, even minutes later. Once the agent has seen the raised token, it
             // refuses them.
-            m.agent.raise_token();
+            if m.agent.raise_token().is_err() {
+                self.step_down = Some(StepDownReason::NumbersExhausted);
+            }
         }
     }
 
@@ -171,7 +179,26 @@
     }
 }
 
+/// Raises the token if the commands have the agent forget an attempt of which a direct call under the current token
+/// carried the start command: a copy of that call could start the attempt again. If the token cannot be raised, the
+/// agent is not told to forget such attempts.
+fn fence_forgotten_attempts(machine: &mut Machine, commands: &mut Vec<TaskCommand>) -> Result<(), TokenExhausted> {
+    let fencing = &mut machine.agent.fencing;
+    let forgets_unfenced = |fencing: &Fencing, command: &TaskCommand| matches!(command, TaskCommand::Forget { attempt, .. } if fencing.direct_starts().contains(attempt));
+    if !commands.iter().any(|command| forgets_unfenced(fencing, command)) {
+        return Ok(());
+    }
+    let fenced = fencing.fence_direct_starts();
+    if fenced.is_err() {
+        commands.retain(|command| !forgets_unfenced(fencing, command));
+    }
+    fenced
+}
+
 /// Whether a placement is committed and its start command has not been sent.
 fn is_unsent(placement: &Placement) -> bool {
     !placement.start_sent && placement.state == PlacementState::Committed
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/leader/heartbeats.rs
+++ b/crates/core/src/leader/heartbeats.rs
@@ -163,11 +163,11 @@
         }
     }
 
-    /// Compares the fencing token that a machine has seen with the current one. Returns whether the heartbeat was
-    /// sent under the current token.
+    /// Compares the fencing token that a machine has seen with the one that proofs require. Returns whether the
+    /// heartbeat shows that token or a later one.
     fn check_token(&mut self, machine: &Id, seen: FencingToken) -> bool {
         let Some(m) = self.fleet.machines.get_mut(machine) else { return false };
-        if seen < m.agent.token(self.epoch) {
+        if seen < m.agent.fencing.required_token(self.epoch) {
             return false;
         }
         if m.agent.confirm_token() {
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -17,6 +17,7 @@
 mod heartbeats;
 mod lease;
 mod machine_failures;
+mod numbers;
 mod placements;
 pub(crate) mod recovery;
 pub(crate) mod retry_queue;
@@ -33,6 +34,7 @@
 use crate::leader::autoscaler::Autoscaler;
 use crate::leader::fleet::Fleet;
 use crate::leader::lease::LeaderLease;
+use crate::leader::numbers::LeaderNumbers;
 use crate::leader::recovery::{Recovery, ScanPosition};
 use crate::leader::scheduler::Scheduler;
 use crate::leader::store::{CommitStep, SplitSubmissionRead, Store};
@@ -40,7 +42,7 @@
 use crate::model::{Id, Job};
 use crate::step_down::{ForeignWrite, StepDownReason};
 use shaleshunt_peer::{JobProgress, MAX_FRAME_BYTES};
-use shaleshunt_wire::{Attempt, Epoch, Revision};
+use shaleshunt_wire::{Epoch, Revision};
 use std::collections::BTreeMap;
 
 /// Delay between scheduling passes under load, as a multiple of the lag of the controller, and the limit of that
@@ -82,13 +84,6 @@
     Catalog,
 }
 
-/// The last numbers that a leader has assigned; 0 if it has assigned none.
-#[derive(Debug, Default)]
-struct LeaderNumbers {
-    attempt: u64,
-    placement_id: u64,
-}
-
 /// State of the leader. Times are in milliseconds on the monotonic clock.
 pub struct Leader {
     pub(crate) epoch: Epoch,
@@ -191,13 +186,14 @@
         if now >= self.next_status_at_ms {
             self.next_status_at_ms = now + ctx.settings.heartbeat_interval_ms();
             self.emit_status(ctx);
+            self.hand_over_before_numbers_end(ctx);
         }
         self.read_final_records(ctx);
         while let Some(read) = self.store.next_submission_retry(now) {
             self.read_submission_parts(ctx, read);
         }
         self.run_autoscaler(ctx);
-        if self.scheduler.begin_pass(now) {
+        if !self.numbers.attempts_nearly_used_up() && self.scheduler.begin_pass(now) {
             self.run_pass(ctx);
         }
         self.commit(ctx);
@@ -241,18 +237,6 @@
         })));
     }
 
-    /// Returns a new attempt number, unique over all epochs.
-    pub(crate) fn next_attempt(&mut self) -> Attempt {
-        self.numbers.attempt += 1;
-        Attempt::new(self.epoch, self.numbers.attempt)
-    }
-
-    /// Returns a new placement ID, unique within this process.
-    pub(crate) fn next_placement_id(&mut self) -> u64 {
-        self.numbers.placement_id += 1;
-        self.numbers.placement_id
-    }
-
     /// Numbers of done and running tasks of a job, for display.
     pub(crate) fn task_counts(&self, job: &str) -> (u32, u32) {
         self.jobs.get(job).map_or((0, 0), |job| (job.tasks.done_count(), job.tasks.running_count()))
--- a/crates/core/src/model/agent.rs
+++ b/crates/core/src/model/agent.rs
@@ -1,5 +1,6 @@
 //! The leader's view of the agent on a machine, built from heartbeats and from the results of commands.
 
+use crate::model::{Fencing, TokenExhausted};
 use shaleshunt_wire::worker::ExitCause;
 use shaleshunt_wire::{AgentEpoch, Attempt, Epoch, FencingToken};
 
@@ -34,10 +35,10 @@
     pub last_heartbeat_ms: Option<u64>,
     /// Position of the newest accepted heartbeat.
     last_heartbeat_order: HeartbeatOrder,
-    /// Whether a heartbeat has shown this leader's current fencing token.
+    /// Whether a heartbeat has shown the fencing token that proofs require, of this leader.
     pub token_confirmed: bool,
-    /// Counter in the fencing token, next to the leader epoch; incremented when the result of a command is unknown.
-    token_counter: u64,
+    /// Fencing token, and the start commands that it does not fence off.
+    pub fencing: Fencing,
     /// The reply to the last heartbeat contained a `run` command, and no later heartbeat has been received.
     pub reply_may_start_tasks: bool,
     /// Consecutive commands without any sign of arrival. The machine may send heartbeats that arrive while commands to
@@ -66,10 +67,10 @@
 
     /// The fencing token for commands of the given leader epoch.
     pub fn token(&self, leader: Epoch) -> FencingToken {
-        FencingToken::new(leader, self.token_counter)
+        self.fencing.token(leader)
     }
 
-    /// Records that the agent has shown the current token. Returns false if it was confirmed before.
+    /// Records that the agent has shown the required token. Returns false if it was confirmed before.
     pub fn confirm_token(&mut self) -> bool {
         if self.token_confirmed {
             return false;
@@ -81,9 +82,14 @@
 
     /// Raises the fencing token, so that the agent refuses commands that may still be in flight. No placement is
     /// released and no task forgotten until a heartbeat confirms the new token.
-    pub fn raise_token(&mut self) {
-        self.token_counter += 1;
+    ///
+    /// # Errors
+    ///
+    /// If the token cannot be raised any more in this epoch.
+    pub fn raise_token(&mut self) -> Result<(), TokenExhausted> {
+        self.fencing.raise()?;
         self.token_confirmed = false;
+        Ok(())
     }
 
     /// Records that a command arrived at the agent.
--- a/crates/core/src/model/agent/tests.rs
+++ b/crates/core/src/model/agent/tests.rs
@@ -25,7 +25,7 @@
     let first = agent.token(Epoch(7));
     assert!(agent.confirm_token() && !agent.confirm_token());
     assert_eq!(agent.unacknowledged_commands, 0);
-    agent.raise_token();
+    agent.raise_token().unwrap();
     assert!(!agent.token_confirmed && agent.token(Epoch(7)) > first);
     assert_eq!(agent.token(Epoch(7)).epoch(), Epoch(7));
 }
--- a/crates/core/src/model/mod.rs
+++ b/crates/core/src/model/mod.rs
@@ -8,6 +8,7 @@
 
 mod agent;
 mod direct_call;
+mod fencing;
 mod image_cache;
 mod job;
 mod machine;
@@ -20,6 +21,7 @@
 
 pub use agent::{Agent, HeartbeatOrder, UnexpectedTask};
 pub use direct_call::{CallInFlight, CallPurpose, DirectCall};
+pub use fencing::{Fencing, TokenExhausted};
 pub use image_cache::{CachedImage, ImageCache};
 pub use job::{Job, JobFailures, JobRecordState, PendingWrites, SchedulingState};
 pub use machine::{Capacity, Lifecycle, Machine, MachineRecordState};
--- a/crates/core/src/step_down.rs
+++ b/crates/core/src/step_down.rs
@@ -35,6 +35,8 @@
     ForeignWrite(ForeignWrite),
     /// No machine sends heartbeats to this leader.
     NoHeartbeats,
+    /// The fencing tokens or attempt numbers of the epoch are nearly used up.
+    NumbersExhausted,
 }
 
 impl StepDownReason {
@@ -50,6 +52,7 @@
             StepDownReason::TransactionRejected => "transaction_rejected",
             StepDownReason::ForeignWrite(_) => "foreign_write",
             StepDownReason::NoHeartbeats => "no_heartbeats",
+            StepDownReason::NumbersExhausted => "numbers_exhausted",
         }
     }
 }
@@ -69,6 +72,9 @@
                 write!(f, "the key-value store rejected a transaction that cannot be made smaller")
             }
             StepDownReason::NoHeartbeats => write!(f, "no machine sends heartbeats to this leader"),
+            StepDownReason::NumbersExhausted => {
+                write!(f, "the fencing tokens or attempt numbers of this epoch are nearly used up")
+            }
             StepDownReason::ForeignWrite(ForeignWrite { key, expected, found }) => {
                 write!(f, "another client wrote a key of the leader: {key} expected at version {expected}, ")?;
                 match found {
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -46,9 +46,17 @@
     /// Width of the counter per machine, below the epoch.
     const COUNTER_BITS: u32 = 20;
 
-    /// Token of a leader epoch and a machine's counter.
+    /// Highest counter of a machine: with a higher one, the token would be of the next epoch.
+    pub const MAX_COUNTER: u64 = (1 << Self::COUNTER_BITS) - 1;
+
+    /// Token of a leader epoch and a machine's counter. A counter above [`FencingToken::MAX_COUNTER`] counts as that.
     pub fn new(epoch: Epoch, counter: u64) -> FencingToken {
-        FencingToken((epoch.0 << Self::COUNTER_BITS) + counter)
+        FencingToken((epoch.0 << Self::COUNTER_BITS) + counter.min(Self::MAX_COUNTER))
+    }
+
+    /// The machine's counter.
+    pub fn counter(self) -> u64 {
+        self.0 & Self::MAX_COUNTER
     }
 
     /// Leader epoch in which the token was issued.
@@ -84,9 +92,12 @@
     /// Width of the leader's counter, below the epoch.
     const COUNTER_BITS: u32 = 28;
 
-    /// Attempt of a leader epoch and the leader's counter.
+    /// Highest counter of a leader: with a higher one, the attempt would be of the next epoch.
+    pub const MAX_COUNTER: u64 = (1 << Self::COUNTER_BITS) - 1;
+
+    /// Attempt of a leader epoch and the leader's counter. A counter above [`Attempt::MAX_COUNTER`] counts as that.
     pub fn new(epoch: Epoch, counter: u64) -> Attempt {
-        Attempt((epoch.0 << Self::COUNTER_BITS) + counter)
+        Attempt((epoch.0 << Self::COUNTER_BITS) + counter.min(Self::MAX_COUNTER))
     }
 }
 
