--- a/crates/core/src/leader/autoscaler/machine_list.rs
+++ b/crates/core/src/leader/autoscaler/machine_list.rs
@@ -157,12 +157,12 @@
         self.set_ownership(&id, owned);
         let Some(machine) = self.fleet.machines.get_mut(&id) else { return };
         machine.lifecycle.listed = true;
-        if machine.agent.endpoint.is_empty() {
-            machine.agent.endpoint = listed.endpoint;
-        }
         if listed.status == ListedMachineStatus::Failed {
             machine.lifecycle.scale_in_wanted = true;
         }
+        if machine.agent.endpoint.is_empty() {
+            self.update_endpoint(&id, &listed.endpoint);
+        }
     }
 
     /// Updates whether a machine is owned, in the fleet, its record and the usage of its jobs.
--- a/crates/core/src/leader/fleet/mod.rs
+++ b/crates/core/src/leader/fleet/mod.rs
@@ -30,7 +30,7 @@
 use crate::leader::fleet::images::ImageNames;
 use crate::leader::fleet::machines::MachineIndex;
 use crate::leader::fleet::reachability::Reachability;
-use crate::model::{CallPurpose, Id, Machine};
+use crate::model::{CallPurpose, Id, Machine, TokenExhausted};
 
 /// The machines and the state that is needed to talk to them.
 #[derive(Debug)]
@@ -45,6 +45,8 @@
     pub(crate) reachability: Reachability,
     /// Number of events about single tasks that may be logged.
     pub(crate) events: EventBudget,
+    /// Lowest token counter that is above those of all machines that are gone or have left an address.
+    free_counter: u64,
 }
 
 impl Fleet {
@@ -56,18 +58,38 @@
             calls: CallQueue::default(),
             reachability: Reachability::new(now),
             events: EventBudget::new(now),
+            free_counter: 0,
         }
     }
 
     /// Removes a machine that is proven gone. A token confirmation in flight to the machine counts as ended.
     pub(crate) fn remove(&mut self, id: &str) -> Option<Machine> {
         let machine = self.machines.remove(id)?;
+        self.free_counter = self.free_counter.max(machine.agent.fencing.counter() + 1);
         if machine.call.in_flight().is_some_and(|call| call.purpose == CallPurpose::ConfirmToken) {
             self.calls.confirmation_ended();
         }
         Some(machine)
     }
 
+    /// Sets the address of a machine, which another machine may have had. The machine's token is raised above those of
+    /// all calls to that address, so that its agent refuses copies of calls that were meant for the other machine.
+    ///
+    /// # Errors
+    ///
+    /// If the token cannot be raised that far in this epoch.
+    pub(crate) fn set_endpoint(&mut self, id: &str, endpoint: &str) -> Result<(), TokenExhausted> {
+        let at_address = |machine: &&Machine| machine.agent.endpoint == endpoint && *machine.id != *id;
+        let others = self.machines.values().filter(at_address).map(|machine| machine.agent.fencing.counter() + 1);
+        let lowest = others.max().unwrap_or(0).max(self.free_counter);
+        let Some(machine) = self.machines.get_mut(id) else { return Ok(()) };
+        if !machine.agent.endpoint.is_empty() {
+            self.free_counter = self.free_counter.max(machine.agent.fencing.counter() + 1);
+        }
+        machine.agent.endpoint = endpoint.to_string();
+        if machine.agent.fencing.counter() < lowest { machine.agent.raise_token_above(lowest - 1) } else { Ok(()) }
+    }
+
     /// Queues every machine that can be called for a confirmation of the fencing token.
     pub(crate) fn confirm_all_tokens(&mut self) {
         let callable = self.machines.values().filter(|machine| machine.agent.can_be_called());
@@ -85,3 +107,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/leader/heartbeats.rs
+++ b/crates/core/src/leader/heartbeats.rs
@@ -121,6 +121,7 @@
     /// Updates what is known of the machine itself from its heartbeat, and its capacity once its type is in the
     /// catalog.
     fn update_attributes(&mut self, ctx: &Context, machine: &Id, heartbeat: &Heartbeat) {
+        self.update_endpoint(machine, &heartbeat.endpoint);
         let Some(m) = self.fleet.machines.get_mut(machine) else { return };
         let mut total = m.capacity.total;
         if m.zone.is_empty() {
@@ -135,9 +136,6 @@
                 }
             }
         }
-        if m.agent.endpoint != heartbeat.endpoint {
-            m.agent.endpoint.clone_from(&heartbeat.endpoint);
-        }
         if total == Resources::default()
             && let Some(machine_type) = ctx.catalog.as_ref().and_then(|c| c.machine_type(&m.machine_type))
         {
@@ -149,6 +147,13 @@
         }
     }
 
+    pub(crate) fn update_endpoint(&mut self, machine: &Id, endpoint: &str) {
+        let is_new = self.fleet.machines.get(machine).is_some_and(|m| m.agent.endpoint != endpoint);
+        if is_new && self.fleet.set_endpoint(machine, endpoint).is_err() {
+            self.step_down = Some(StepDownReason::NumbersExhausted);
+        }
+    }
+
     /// Updates whether the cloud is about to reclaim the machine, and at what time.
     fn update_interruption(&mut self, ctx: &mut Context, machine: &Id, notice_s: Option<f64>) {
         let Some(m) = self.fleet.machines.get_mut(machine) else { return };
@@ -170,6 +175,13 @@
         if seen < m.agent.fencing.required_token(self.epoch) {
             return false;
         }
+        if seen.epoch() == self.epoch && seen > m.agent.token(self.epoch) {
+            // A call for an earlier machine with this address has reached the agent, which drops lower tokens now.
+            if m.agent.raise_token_above(seen.counter()).is_err() {
+                self.step_down = Some(StepDownReason::NumbersExhausted);
+            }
+            return false;
+        }
         if m.agent.confirm_token() {
             self.scheduler.request_pass();
         }
--- a/crates/core/src/model/agent.rs
+++ b/crates/core/src/model/agent.rs
@@ -92,6 +92,16 @@
         Ok(())
     }
 
+    /// Raises the fencing token above `counter`, if it is not, like [`Agent::raise_token`].
+    ///
+    /// # Errors
+    ///
+    /// If the token cannot be raised that far in this epoch.
+    pub fn raise_token_above(&mut self, counter: u64) -> Result<(), TokenExhausted> {
+        self.token_confirmed &= self.fencing.counter() > counter;
+        self.fencing.raise_above(counter)
+    }
+
     /// Records that a command arrived at the agent.
     pub fn record_acknowledged_command(&mut self) {
         self.unacknowledged_commands = 0;
--- a/crates/simulation/tests/repeated_direct_calls.rs
+++ b/crates/simulation/tests/repeated_direct_calls.rs
@@ -111,3 +111,17 @@
          expect late-starts within 0",
     );
 }
+
+#[test]
+fn late_copy_of_a_start_does_not_run_a_task_once_a_machine_with_a_reused_address_was_answered() {
+    assert_holds(
+        "reuse-addresses
+         machines f a 1
+         capacity f b on-demand 1 spot 0
+         job wk-1 at 3 tasks 3 cores 9 runtime 70 deadline 20 image i cancel 15
+         job wk-2 at 75 tasks 3 cores 6 runtime 60 deadline 5 image i
+         until 160
+         at 0 repeat-requests direct-calls 100 for 160 by 80 to 110
+         expect late-starts within 0",
+    );
+}
