--- a/crates/core/src/leader/fleet/heartbeat_effects.rs
+++ b/crates/core/src/leader/fleet/heartbeat_effects.rs
@@ -25,6 +25,8 @@
     pub ended: Vec<EndedPlacement>,
     /// Whether a start command was lost and must be sent again.
     pub start_lost: bool,
+    /// Whether the token has to be raised before a placement that the heartbeat lacks is proven gone.
+    pub unfenced: bool,
 }
 
 /// Applies one finding per placement of the machine, in the order of the placements, and returns which of them to
@@ -43,6 +45,7 @@
             Finding::EarlierAgentEpoch => effects.earlier_agent_epoch.push(placement_id),
             Finding::Absent => effects.absent.push(placement_id),
             Finding::Ended(cause) => effects.ended.push(EndedPlacement { placement_id, cause }),
+            Finding::Unfenced => effects.unfenced = true,
             Finding::StartLost => {
                 placement.start_sent = false;
                 effects.start_lost = true;
--- a/crates/core/src/leader/fleet/heartbeat_effects/tests.rs
+++ b/crates/core/src/leader/fleet/heartbeat_effects/tests.rs
@@ -34,11 +34,19 @@
         absent: vec![1],
         ended: vec![EndedPlacement { placement_id: 3, cause: ExitCause::Done }],
         start_lost: false,
+        unfenced: false,
     };
     assert_eq!(effects, expected);
     assert_eq!(machine.placements.len(), 5);
 }
 
+#[test]
+fn an_unfenced_placement_stays_until_the_token_is_raised() {
+    let mut machine = machine(vec![placement(1, PlacementState::Running)]);
+    let effects = apply_findings(&mut machine, &mut jobs(), &[Finding::Unfenced], DISK_GB, NOW);
+    assert_eq!(effects, FindingEffects { unfenced: true, ..FindingEffects::default() });
+}
+
 #[test]
 fn a_lost_start_marks_the_placement_as_unsent() {
     let mut machine = machine(vec![placement(1, PlacementState::Committed)]);
--- a/crates/core/src/leader/fleet/reconciliation.rs
+++ b/crates/core/src/leader/fleet/reconciliation.rs
@@ -2,7 +2,8 @@
 //!
 //! Only the following proves that a placement is gone:
 //! - a heartbeat under the current fencing token that shows the task ended;
-//! - a heartbeat under the current token that lacks the task, while no command is in flight that could still start it;
+//! - a heartbeat under the current token that lacks the task, while no command is in flight that could still start it,
+//!   and no direct call under that token carried its start command, since a copy of that call may still arrive;
 //! - a newer agent epoch;
 //! - a return of the machine that the cloud has confirmed (see the autoscaler);
 //! - no heartbeat for longer than a lease after the last time that any controller could have renewed it (see
@@ -14,13 +15,17 @@
 
 /// What a heartbeat can prove.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct HeartbeatEvidence {
+pub(crate) struct HeartbeatEvidence<'a> {
     /// Agent epoch that sent the heartbeat.
     pub agent_epoch: AgentEpoch,
-    /// Whether the heartbeat shows the fencing token of the commands that are sent now.
+    /// Whether the heartbeat shows the fencing token that proofs require.
     pub token_is_current: bool,
+    /// Whether the heartbeat shows the fencing token of the commands that are sent now.
+    pub token_is_latest: bool,
     /// Whether a command in flight may still start a task.
     pub commands_in_flight: bool,
+    /// Attempts of which a direct call under the token of the commands that are sent now carried the start command.
+    pub direct_starts: &'a [Attempt],
 }
 
 /// Finding about one placement.
@@ -36,6 +41,9 @@
     EndedUnproven,
     /// The task is not on the machine and no command can still start it, so the placement is gone.
     Absent,
+    /// The task is not on the machine, but a copy of the direct call that carried its start command may still arrive: the
+    /// token has to be raised before the placement is gone.
+    Unfenced,
     /// The start command was lost.
     StartLost,
     /// The heartbeat changes nothing.
@@ -69,7 +77,11 @@
 }
 
 /// Compares a machine's placements with the tasks in a heartbeat.
-pub(crate) fn reconcile(placements: &[Placement], tasks: &[TaskReport], evidence: HeartbeatEvidence) -> Reconciliation {
+pub(crate) fn reconcile(
+    placements: &[Placement],
+    tasks: &[TaskReport],
+    evidence: HeartbeatEvidence<'_>,
+) -> Reconciliation {
     let mut unexpected = Vec::new();
     let mut reported = Vec::with_capacity(tasks.len());
     for report in tasks {
@@ -102,7 +114,7 @@
 }
 
 /// The finding about a placement of the agent's current epoch, given the report of its task.
-fn finding(placement: &Placement, report: Option<&TaskReport>, evidence: HeartbeatEvidence) -> Finding {
+fn finding(placement: &Placement, report: Option<&TaskReport>, evidence: HeartbeatEvidence<'_>) -> Finding {
     let Some(report) = report else { return finding_for_missing(placement, evidence) };
     match report.status {
         TaskStatus::Exited if evidence.token_is_current => Finding::Ended(report.cause.unwrap_or(ExitCause::Unknown)),
@@ -114,16 +126,29 @@
 }
 
 /// The finding about a placement that the heartbeat lacks.
-fn finding_for_missing(placement: &Placement, evidence: HeartbeatEvidence) -> Finding {
+fn finding_for_missing(placement: &Placement, evidence: HeartbeatEvidence<'_>) -> Finding {
     if !evidence.token_is_current || evidence.commands_in_flight {
         return Finding::NoChange;
     }
     match placement.state {
         PlacementState::Planned => Finding::NoChange,
-        PlacementState::Committed if placement.stop_grace_s.is_some() => Finding::Absent,
+        PlacementState::Committed if placement.stop_grace_s.is_some() => absent(placement, evidence),
         PlacementState::Committed if placement.start_sent => Finding::StartLost,
         PlacementState::Committed => Finding::NoChange,
-        PlacementState::Fetching | PlacementState::Running | PlacementState::Checkpointing => Finding::Absent,
+        PlacementState::Fetching | PlacementState::Running | PlacementState::Checkpointing => {
+            absent(placement, evidence)
+        }
+    }
+}
+
+/// The finding about a placement whose task is not on the machine and is not to be started any more.
+fn absent(placement: &Placement, evidence: HeartbeatEvidence<'_>) -> Finding {
+    if evidence.direct_starts.contains(&placement.attempt) {
+        Finding::Unfenced
+    } else if evidence.token_is_latest {
+        Finding::Absent
+    } else {
+        Finding::NoChange
     }
 }
 
--- a/crates/core/src/leader/fleet/reconciliation/tests.rs
+++ b/crates/core/src/leader/fleet/reconciliation/tests.rs
@@ -1,10 +1,15 @@
 use super::*;
 use crate::model::samples::{AGENT_EPOCH, attempt, placement};
 
-const PROOF: HeartbeatEvidence =
-    HeartbeatEvidence { agent_epoch: AGENT_EPOCH, token_is_current: true, commands_in_flight: false };
-const OLD_TOKEN: HeartbeatEvidence = HeartbeatEvidence { token_is_current: false, ..PROOF };
-const COMMANDS_IN_FLIGHT: HeartbeatEvidence = HeartbeatEvidence { commands_in_flight: true, ..PROOF };
+const PROOF: HeartbeatEvidence<'_> = HeartbeatEvidence {
+    agent_epoch: AGENT_EPOCH,
+    token_is_current: true,
+    token_is_latest: true,
+    commands_in_flight: false,
+    direct_starts: &[],
+};
+const OLD_TOKEN: HeartbeatEvidence<'_> = HeartbeatEvidence { token_is_current: false, ..PROOF };
+const COMMANDS_IN_FLIGHT: HeartbeatEvidence<'_> = HeartbeatEvidence { commands_in_flight: true, ..PROOF };
 
 fn report(task: &str, number: u64, status: TaskStatus, cause: Option<ExitCause>) -> TaskReport {
     TaskReport { task: task.into(), attempt: attempt(number), status, cause, checkpointed: None }
@@ -14,7 +19,7 @@
     vec![report("wk-1/3", 9, status, None)]
 }
 
-fn finding_for(placement: Placement, tasks: &[TaskReport], evidence: HeartbeatEvidence) -> Finding {
+fn finding_for(placement: Placement, tasks: &[TaskReport], evidence: HeartbeatEvidence<'_>) -> Finding {
     reconcile(&[placement], tasks, evidence).findings[0]
 }
 
@@ -134,3 +139,23 @@
     let result = reconcile(&placements, &tasks, PROOF);
     assert_eq!(result.findings, [Finding::Absent, Finding::Present(PlacementState::Checkpointing)]);
 }
+
+#[test]
+fn a_missing_placement_is_not_gone_while_a_copy_of_its_direct_call_would_start_it() {
+    let started = [attempt(9)];
+    let unfenced = HeartbeatEvidence { direct_starts: &started, ..PROOF };
+    let former_token = HeartbeatEvidence { token_is_latest: false, ..PROOF };
+    let stopping = Placement { stop_grace_s: Some(0.0), ..placement(PlacementState::Committed) };
+    for missing in [stopping, placement(PlacementState::Fetching), placement(PlacementState::Running)] {
+        assert_eq!(finding_for(missing.clone(), &[], unfenced), Finding::Unfenced);
+        assert_eq!(finding_for(missing.clone(), &[], former_token), Finding::NoChange);
+        assert_eq!(finding_for(missing, &[], PROOF), Finding::Absent);
+    }
+}
+
+#[test]
+fn an_ended_task_is_proven_ended_under_the_former_token_too() {
+    let ended = [report("wk-1/3", 9, TaskStatus::Exited, Some(ExitCause::Done))];
+    let former_token = HeartbeatEvidence { token_is_latest: false, direct_starts: &[], ..PROOF };
+    assert_eq!(finding_for(placement(PlacementState::Running), &ended, former_token), Finding::Ended(ExitCause::Done));
+}
--- a/crates/core/src/leader/heartbeats.rs
+++ b/crates/core/src/leader/heartbeats.rs
@@ -203,7 +203,13 @@
         let Some(m) = self.fleet.machines.get_mut(machine) else { return FindingEffects::default() };
         let reply_carried_out = source == HeartbeatSource::Agent && std::mem::take(&mut m.agent.reply_may_start_tasks);
         let commands_in_flight = !m.call.is_idle() || m.agent.reply_may_start_tasks;
-        let evidence = HeartbeatEvidence { agent_epoch: heartbeat.agent_epoch, token_is_current, commands_in_flight };
+        let evidence = HeartbeatEvidence {
+            agent_epoch: heartbeat.agent_epoch,
+            token_is_current,
+            token_is_latest: heartbeat.token >= m.agent.token(self.epoch),
+            commands_in_flight,
+            direct_starts: m.agent.fencing.direct_starts(),
+        };
         let reconciliation = reconcile(&m.placements, &heartbeat.tasks, evidence);
         let disk_gb = disk_gb(ctx, m);
         let effects = apply_findings(m, &mut self.jobs, &reconciliation.findings, disk_gb, ctx.now.monotonic_ms);
@@ -213,7 +219,10 @@
         } else if effects.start_lost && reply_carried_out {
             m.agent.record_unacknowledged_command();
         }
-        if effects.start_lost {
+        if effects.unfenced && m.agent.raise_token().is_err() {
+            self.step_down = Some(StepDownReason::NumbersExhausted);
+        }
+        if effects.start_lost || effects.unfenced {
             self.fleet.calls.call_soon(machine.clone());
         }
         if token_is_current {
--- a/crates/simulation/src/agent/tasks.rs
+++ b/crates/simulation/src/agent/tasks.rs
@@ -54,15 +54,21 @@
         std::mem::take(&mut self.events)
     }
 
-    /// Restarts the machine, which is up again at `up_at_ms`: its tasks have stopped, and its agent begins the next
-    /// agent epoch without the fencing token that it had seen.
+    /// Restarts the machine, which is up again at `up_at_ms`: its tasks have stopped.
     pub fn restart(&mut self, up_at_ms: u64) {
-        self.expire_lease(up_at_ms);
-        self.token = FencingToken::default();
+        self.stop_all_tasks();
         self.heartbeats = HeartbeatState { next_at_ms: up_at_ms, ..HeartbeatState::default() };
         self.faults.hung_until_ms = up_at_ms;
     }
 
+    /// Restarts the machine like [`Agent::restart`]; its agent begins the next agent epoch, without the fencing token
+    /// that it had seen.
+    pub fn restart_in_next_epoch(&mut self, up_at_ms: u64) {
+        self.expire_lease(up_at_ms);
+        self.token = FencingToken::default();
+        self.restart(up_at_ms);
+    }
+
     /// Stops all tasks and begins a new agent epoch.
     fn expire_lease(&mut self, now: u64) {
         self.stop_all_tasks();
--- a/crates/simulation/src/scenario/grammar/fault.rs
+++ b/crates/simulation/src/scenario/grammar/fault.rs
@@ -5,9 +5,9 @@
 use crate::scenario::error::SyntaxError;
 use crate::scenario::words::{Words, parse_number};
 use crate::simulation::{
-    CloudFault, ControllerChoice, ControllerFault, DuplicateArrival, Fault, JobFault, LinkFault, MachineChoice,
-    MachineFault, PartitionScope, PartitionedMessages, RepeatedKind, Repetition, RepetitionFault, StoreFault,
-    TransactionExecution,
+    AgentMemory, CloudFault, ControllerChoice, ControllerFault, DuplicateArrival, Fault, JobFault, LinkFault,
+    MachineChoice, MachineFault, PartitionScope, PartitionedMessages, RepeatedKind, Repetition, RepetitionFault,
+    StoreFault, TransactionExecution,
 };
 
 /// Description of a fault in errors about a missing or unknown name.
@@ -138,7 +138,8 @@
             let machines = machines(words)?;
             words.expect_keyword("after")?;
             let restart_after_ms = words.seconds_as_ms("the time until the machines are up in seconds")?;
-            MachineFault::Restart { machines, restart_after_ms }
+            let memory = if words.take_if("keeping-epoch") { AgentMemory::EpochAndToken } else { AgentMemory::Lost };
+            MachineFault::Restart { machines, memory, restart_after_ms }
         }
         "lose" => MachineFault::Lose { machines: machines(words)? },
         "lose-machine-of" => MachineFault::LoseMachineOfTask { task: words.text("a task")? },
--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -23,8 +23,8 @@
 
 pub use controllers::ProgramVersion;
 pub use fault::{
-    CloudFault, ControllerChoice, ControllerFault, DuplicateArrival, Fault, JobFault, LinkFault, MachineChoice,
-    MachineFault, RepetitionFault, StoreFault, TransactionExecution,
+    AgentMemory, CloudFault, ControllerChoice, ControllerFault, DuplicateArrival, Fault, JobFault, LinkFault,
+    MachineChoice, MachineFault, RepetitionFault, StoreFault, TransactionExecution,
 };
 pub use network::{PartitionScope, PartitionedMessages};
 pub use repetition::{RepeatedKind, Repetition};
--- a/crates/simulation/src/simulation/fault.rs
+++ b/crates/simulation/src/simulation/fault.rs
@@ -233,6 +233,15 @@
     },
 }
 
+/// What an agent remembers over a restart of its machine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AgentMemory {
+    /// Only the agent epoch, of which the next one begins.
+    Lost,
+    /// The agent epoch, which continues, and the fencing token.
+    EpochAndToken,
+}
+
 /// A fault of machines.
 #[derive(Debug, Clone)]
 pub enum MachineFault {
@@ -259,10 +268,12 @@
         /// Factor by which the tasks' run time is multiplied.
         factor: u32,
     },
-    /// Machines restart: their tasks are gone, and their agents begin the next agent epoch.
+    /// Machines restart: their tasks are gone.
     Restart {
         /// Affected machines.
         machines: MachineChoice,
+        /// What their agents remember.
+        memory: AgentMemory,
         /// Time until the machines are up again, in ms.
         restart_after_ms: u64,
     },
--- a/crates/simulation/src/simulation/inject.rs
+++ b/crates/simulation/src/simulation/inject.rs
@@ -2,7 +2,9 @@
 
 use super::controllers::ProgramVersion;
 use super::event::Event;
-use super::fault::{CloudFault, ControllerFault, Fault, JobFault, LinkFault, MachineChoice, MachineFault, StoreFault};
+use super::fault::{
+    AgentMemory, CloudFault, ControllerFault, Fault, JobFault, LinkFault, MachineChoice, MachineFault, StoreFault,
+};
 use super::network::PartitionEnd;
 use super::temporary::{TemporaryDelay, TemporaryProbability};
 use super::{Simulation, agents::AgentLink};
@@ -161,9 +163,9 @@
                     }
                 }
             }
-            MachineFault::Restart { machines, restart_after_ms } => {
+            MachineFault::Restart { machines, memory, restart_after_ms } => {
                 for machine in self.agents.select(&machines) {
-                    self.restart_machine(&machine, now + restart_after_ms);
+                    self.restart_machine(&machine, memory, now + restart_after_ms);
                 }
             }
             MachineFault::FailTasks { machine, duration_ms } => {
@@ -193,9 +195,12 @@
         }
     }
 
-    fn restart_machine(&mut self, machine: &str, up_at_ms: u64) {
+    fn restart_machine(&mut self, machine: &str, memory: AgentMemory, up_at_ms: u64) {
         if let Some(agent) = self.agents.running.get_mut(machine) {
-            agent.restart(up_at_ms);
+            match memory {
+                AgentMemory::Lost => agent.restart_in_next_epoch(up_at_ms),
+                AgentMemory::EpochAndToken => agent.restart(up_at_ms),
+            }
         }
         self.report_events_to_checker(machine);
     }
--- a/crates/simulation/tests/repeated_direct_calls.rs
+++ b/crates/simulation/tests/repeated_direct_calls.rs
@@ -67,6 +67,18 @@
     );
 }
 
+#[test]
+fn late_copy_of_a_start_does_not_run_a_task_on_a_machine_that_is_back_in_the_same_agent_epoch() {
+    assert_holds(
+        "machines f a 4
+         job wk-1 at 3 tasks 3 cores 10 runtime 40 image i
+         at 7 reclaim vm-000001 after 75
+         at 10 restart vm-000001 after 0.6 keeping-epoch
+         at 0 repeat-requests direct-calls 100 for 90 by 12 to 40
+         expect done wk-1",
+    );
+}
+
 #[test]
 fn late_copy_of_a_start_does_not_run_a_task_after_a_controller_is_back_within_a_second() {
     assert_holds(
