--- a/crates/simulation/src/simulation.rs
+++ b/crates/simulation/src/simulation.rs
@@ -159,6 +159,7 @@
         match event {
             Event::Tick => self.tick(),
             Event::StoreRequest { from, id, request } => self.handle_at_store(from, id, request),
+            Event::RepeatedStoreRequest { from, id, request } => self.handle_copy_at_store(from, id, request),
             Event::CloudRequest { from, id, request } => self.handle_at_cloud(from, id, request),
             Event::AgentCommands { from, id, address, commands } => {
                 self.deliver_direct_commands(from, id, &address, commands)
--- a/crates/simulation/src/simulation/event.rs
+++ b/crates/simulation/src/simulation/event.rs
@@ -23,6 +23,8 @@
     Tick,
     /// A request reaches the key-value store.
     StoreRequest { from: ProcessId, id: u64, request: KvRequest },
+    /// A request that the key-value store has executed and answered reaches it once more.
+    RepeatedStoreRequest { from: ProcessId, id: u64, request: KvRequest },
     /// A request reaches the cloud.
     CloudRequest { from: ProcessId, id: u64, request: CloudRequest },
     /// Direct commands reach the agent at an address.
