--- a/crates/core/src/api/split_submission.rs
+++ b/crates/core/src/api/split_submission.rs
@@ -115,8 +115,10 @@
         count
     }
 
+    /// The transaction of the next parts. The job must not be known: a copy of the transaction that arrives after the end
+    /// of the job would create parts again that nobody removes.
     fn parts_transaction(&self, count: usize) -> Transaction {
-        let mut transaction = Transaction::default();
+        let mut transaction = Transaction { preconditions: self.job_is_unknown().into(), writes: Vec::new() };
         for (number, part) in self.parts.iter().enumerate().skip(self.written).take(count) {
             transaction.preconditions.push(Precondition { key: self.part_key(number), version: Revision::ABSENT });
             transaction.writes.push(Write::set(self.part_key(number), json!(part)));
@@ -133,14 +135,17 @@
             cancelled: false,
             has_cancellation_key: false,
         };
-        let preconditions = vec![
-            Precondition { key: keys::job(job), version: Revision::ABSENT },
-            Precondition { key: keys::final_record(job), version: Revision::ABSENT },
-            Precondition { key: self.part_key(0), version: self.first_part_version },
-        ];
+        let mut preconditions = Vec::from(self.job_is_unknown());
+        preconditions.push(Precondition { key: self.part_key(0), version: self.first_part_version });
         Transaction { preconditions, writes: vec![Write::set(keys::job(job), json!(record))] }
     }
 
+    /// The preconditions that the job has neither been accepted nor ended.
+    fn job_is_unknown(&self) -> [Precondition; 2] {
+        let job = self.submission.job();
+        [keys::job(job), keys::final_record(job)].map(|key| Precondition { key, version: Revision::ABSENT })
+    }
+
     fn part_key(&self, number: usize) -> String {
         format!("{}{number:04}", self.prefix)
     }
