--- a/crates/core/src/api/tests.rs
+++ b/crates/core/src/api/tests.rs
@@ -8,7 +8,7 @@
 use crate::settings::{StoreQuota, TeamQuota, Tuning};
 use serde_json::{Value, json};
 use shaleshunt_wire::cloud::{Catalog, MachineType};
-use shaleshunt_wire::kv::{KeyValue, Transaction};
+use shaleshunt_wire::kv::{KeyValue, Transaction, Write};
 use shaleshunt_wire::user::{JobStatus, Submission};
 use std::collections::BTreeMap;
 
@@ -291,7 +291,10 @@
 }
 
 fn written_keys(transaction: &Transaction) -> Vec<String> {
-    transaction.preconditions.iter().map(|precondition| precondition.key.clone()).collect()
+    let key = |write: &Write| match write {
+        Write::Set { key, .. } | Write::Drop { key } => key.clone(),
+    };
+    transaction.writes.iter().map(key).collect()
 }
 
 /// Guards against parts that a leader is about to remove, or that have another size, under the keys of new ones.
