--- a/crates/core/src/controller/election/mod.rs
+++ b/crates/core/src/controller/election/mod.rs
@@ -22,15 +22,12 @@
 //! - A watch without changes confirms the list of cancellations only if all pages of the list were read, and at a
 //!   revision from which the watch started or a later one.
 
-mod records;
-
 use super::context::Context;
 use super::election_request::{CancellationRead, ElectionRequest};
 use super::pending::PendingRequest;
 use crate::io::{KvReply, KvRequest, RequestError};
-use crate::model::keys;
+use crate::records::{LeaderRecord, epoch_from_value, epoch_to_value, keys};
 use crate::settings::{Settings, Tuning};
-use records::{LeaderRecord, epoch_from_value, epoch_to_value};
 use shaleshunt_wire::kv::{KeyValue, Page, Precondition, Transaction, Write};
 use shaleshunt_wire::{Epoch, Revision};
 use std::collections::BTreeSet;
--- a/crates/core/src/leader/direct_calls.rs
+++ b/crates/core/src/leader/direct_calls.rs
@@ -3,13 +3,13 @@
 
 use crate::controller::Context;
 use crate::io::{DirectCommandsReply, RequestError, RequestId};
+use crate::leader::fencing::fence_forgotten_attempts;
 use crate::leader::fleet::calls::{CallDecision, decide_call};
 use crate::leader::fleet::commands::{CommandChannel, MachineCommands, commands_for};
 use crate::leader::heartbeats::HeartbeatSource;
 use crate::leader::{Leader, LeaderRequest};
-use crate::model::{CallInFlight, CallPurpose, Fencing, Id, Machine, Placement, PlacementState, TokenExhausted};
-use crate::step_down::StepDownReason;
-use shaleshunt_wire::worker::{DirectCommands, Heartbeat, TaskCommand};
+use crate::model::{CallInFlight, CallPurpose, Id, Placement, PlacementState};
+use shaleshunt_wire::worker::{DirectCommands, Heartbeat};
 
 /// After a failed call, the next call waits for a heartbeat interval divided by this number.
 const INITIAL_BACKOFFS_PER_HEARTBEAT: u64 = 3;
@@ -34,9 +34,8 @@
                 placement.start_sent = true;
             }
         }
-        if fence_forgotten_attempts(m, &mut planned.commands).is_err() {
-            self.step_down = Some(StepDownReason::NumbersExhausted);
-        }
+        let fenced = fence_forgotten_attempts(m, &mut planned.commands);
+        self.step_down_if_exhausted(fenced);
         planned
     }
 
@@ -163,9 +162,8 @@
         } else if call.has_commands {
             // The commands may still reach the agent, even minutes later. Once the agent has seen the raised token, it
             // refuses them.
-            if m.agent.raise_token().is_err() {
-                self.step_down = Some(StepDownReason::NumbersExhausted);
-            }
+            let raised = m.agent.raise_token();
+            self.step_down_if_exhausted(raised);
         }
     }
 
@@ -179,26 +177,7 @@
     }
 }
 
-/// Raises the token if the commands have the agent forget an attempt of which a direct call under the current token
-/// carried the start command: a copy of that call could start the attempt again. If the token cannot be raised, the
-/// agent is not told to forget such attempts.
-fn fence_forgotten_attempts(machine: &mut Machine, commands: &mut Vec<TaskCommand>) -> Result<(), TokenExhausted> {
-    let fencing = &mut machine.agent.fencing;
-    let forgets_unfenced = |fencing: &Fencing, command: &TaskCommand| matches!(command, TaskCommand::Forget { attempt, .. } if fencing.direct_starts().contains(attempt));
-    if !commands.iter().any(|command| forgets_unfenced(fencing, command)) {
-        return Ok(());
-    }
-    let fenced = fencing.fence_direct_starts();
-    if fenced.is_err() {
-        commands.retain(|command| !forgets_unfenced(fencing, command));
-    }
-    fenced
-}
-
 /// Whether a placement is committed and its start command has not been sent.
 fn is_unsent(placement: &Placement) -> bool {
     !placement.start_sent && placement.state == PlacementState::Committed
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/core/src/leader/heartbeats.rs
+++ b/crates/core/src/leader/heartbeats.rs
@@ -10,7 +10,6 @@
 use crate::leader::fleet::interruption::stop_before_interruption;
 use crate::leader::fleet::reconciliation::{HeartbeatEvidence, reconcile};
 use crate::model::{HeartbeatOrder, Id, Machine};
-use crate::step_down::StepDownReason;
 use shaleshunt_wire::worker::{Heartbeat, HeartbeatReply, TaskCommand};
 use shaleshunt_wire::{FencingToken, Resources};
 
@@ -147,13 +146,6 @@
         }
     }
 
-    pub(crate) fn update_endpoint(&mut self, machine: &Id, endpoint: &str) {
-        let is_new = self.fleet.machines.get(machine).is_some_and(|m| m.agent.endpoint != endpoint);
-        if is_new && self.fleet.set_endpoint(machine, endpoint).is_err() {
-            self.step_down = Some(StepDownReason::NumbersExhausted);
-        }
-    }
-
     /// Updates whether the cloud is about to reclaim the machine, and at what time.
     fn update_interruption(&mut self, ctx: &mut Context, machine: &Id, notice_s: Option<f64>) {
         let Some(m) = self.fleet.machines.get_mut(machine) else { return };
@@ -168,29 +160,6 @@
         }
     }
 
-    /// Compares the fencing token that a machine has seen with the one that proofs require. Returns whether the
-    /// heartbeat shows that token or a later one.
-    fn check_token(&mut self, machine: &Id, seen: FencingToken) -> bool {
-        let Some(m) = self.fleet.machines.get_mut(machine) else { return false };
-        if seen < m.agent.fencing.required_token(self.epoch) {
-            return false;
-        }
-        if seen.epoch() == self.epoch && seen > m.agent.token(self.epoch) {
-            // A call for an earlier machine with this address has reached the agent, which drops lower tokens now.
-            if m.agent.raise_token_above(seen.counter()).is_err() {
-                self.step_down = Some(StepDownReason::NumbersExhausted);
-            }
-            return false;
-        }
-        if m.agent.confirm_token() {
-            self.scheduler.request_pass();
-        }
-        if seen.epoch() > self.epoch {
-            self.step_down = Some(StepDownReason::NewerFencingToken);
-        }
-        true
-    }
-
     /// Compares a heartbeat with the placements on the machine and applies the findings.
     fn reconcile_heartbeat(
         &mut self,
@@ -219,12 +188,11 @@
         } else if effects.start_lost && reply_carried_out {
             m.agent.record_unacknowledged_command();
         }
-        if effects.unfenced && m.agent.raise_token().is_err() {
-            self.step_down = Some(StepDownReason::NumbersExhausted);
-        }
+        let raised = if effects.unfenced { m.agent.raise_token() } else { Ok(()) };
         if effects.start_lost || effects.unfenced {
             self.fleet.calls.call_soon(machine.clone());
         }
+        self.step_down_if_exhausted(raised);
         if token_is_current {
             self.log_tasks_without_placement(ctx, heartbeat, machine, &known);
         }
--- a/crates/core/src/leader/machine_failures.rs
+++ b/crates/core/src/leader/machine_failures.rs
@@ -11,6 +11,17 @@
 use crate::leader::fleet::slow_machines::{MIN_OVERRUNNING_TASKS, MIN_RUN_TIMES, RunningTask, is_slow};
 use crate::model::{Id, Placement};
 
+/// Part of a heartbeat interval by which the run time of a failed task may be underestimated, as a divisor.
+const RUN_TIME_ERROR_DIVISOR: u64 = 2;
+/// Part of a heartbeat interval for which a suspect job waits, as a divisor.
+const SUSPECT_PAUSE_DIVISOR: u64 = 4;
+/// Part of a heartbeat interval that counts in the comparison of overrunning tasks.
+const OVERRUN_HEARTBEAT_FRACTION: f64 = 0.1;
+/// Part of a machine lease for which a machine counts as slow.
+const SLOW_LEASE_FRACTION: f64 = 0.5;
+/// Factor on a job's estimate where too few of its tasks have ended for a mean.
+const ESTIMATE_MARGIN: f64 = 1.5;
+
 impl Leader {
     /// Handles a task that failed after running for `ran_ms`: diagnoses its job and its machine, and backs off the
     /// job or puts the machine in quarantine.
@@ -31,7 +42,8 @@
             failed_machines: job.failures.machines.len(),
             failures: job.failures.count,
         };
-        let failed = FailedTask { machine, ran_ms: ran_ms + ctx.settings.heartbeat_interval_ms() / 2 };
+        let failed =
+            FailedTask { machine, ran_ms: ran_ms + ctx.settings.heartbeat_interval_ms() / RUN_TIME_ERROR_DIVISOR };
         Some(diagnose_job(evidence, sibling_task_evidence(job, failed, &self.fleet.machines, ctx.now.monotonic_ms)))
     }
 
@@ -42,7 +54,9 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         match diagnosis {
             JobDiagnosis::Healthy | JobDiagnosis::Unknown => {}
-            JobDiagnosis::Suspect => job.scheduling.not_before_ms = now_ms + ctx.settings.heartbeat_interval_ms() / 4,
+            JobDiagnosis::Suspect => {
+                job.scheduling.not_before_ms = now_ms + ctx.settings.heartbeat_interval_ms() / SUSPECT_PAUSE_DIVISOR;
+            }
             JobDiagnosis::Broken => {
                 let pause = broken_job_pause_ms(job.failures.count, ctx.tuning.quarantine_s * 1000.0);
                 job.scheduling.not_before_ms = now_ms + pause as u64;
@@ -86,11 +100,11 @@
         }
         ctx.work.count_overrun_check();
         let running = m.placements.iter().filter_map(|placement| self.running_task(placement, now_ms));
-        if !is_slow(running, ctx.settings.heartbeat_interval_s * 100.0) {
+        if !is_slow(running, ctx.settings.heartbeat_interval_s * 1000.0 * OVERRUN_HEARTBEAT_FRACTION) {
             return;
         }
         let Some(m) = self.fleet.machines.get_mut(machine) else { return };
-        if m.health.mark_slow(now_ms, now_ms + (ctx.settings.lease_s * 500.0) as u64) {
+        if m.health.mark_slow(now_ms, now_ms + (ctx.settings.lease_s * 1000.0 * SLOW_LEASE_FRACTION) as u64) {
             ctx.emit(Event::MachineSlow { machine: machine.clone() });
         }
     }
@@ -104,7 +118,7 @@
         let mean = job.tasks.run_times.mean_ms(MIN_RUN_TIMES);
         Some(RunningTask {
             elapsed_ms: now_ms.saturating_sub(since_ms) as f64,
-            typical_run_ms: mean.unwrap_or_else(|| self.scheduler.estimated_run_s(job) * 1500.0),
+            typical_run_ms: mean.unwrap_or_else(|| self.scheduler.estimated_run_s(job) * 1000.0 * ESTIMATE_MARGIN),
         })
     }
 }
--- a/crates/core/src/leader/mod.rs
+++ b/crates/core/src/leader/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod autoscaler;
 mod commit;
 mod direct_calls;
+mod fencing;
 pub(crate) mod fleet;
 mod heartbeats;
 mod lease;
--- a/crates/core/src/records/mod.rs
+++ b/crates/core/src/records/mod.rs
@@ -4,11 +4,13 @@
 //! by `serde(rename)`. Leaders of different versions read each other's records, so the meaning of a stored name never
 //! changes. This module doesn't depend on how the records are used.
 
+mod election;
 mod job;
 pub mod keys;
 mod machine;
 mod page;
 
+pub(crate) use election::{LeaderRecord, epoch_from_value, epoch_to_value};
 pub use job::{FinalRecord, JobRecord, SplitSubmissionRecord, StoredJob};
 pub use machine::{BlockRecord, ImageRecord, MachineRecord, V01MachineRecord, V01PlacementRecord};
 pub use page::{PageRecord, PlacementRecord, TaskEntry, TaskRun};
