--- a/crates/core/src/leader/agent_events.rs
+++ b/crates/core/src/leader/agent_events.rs
@@ -17,8 +17,8 @@
         }
     }
 
-    /// Logs the tasks in a heartbeat under the current fencing token that the leader has not placed on the machine and
-    /// that are not among `known`, those of the heartbeat before.
+    /// Logs the tasks in a heartbeat that the leader has not placed on the machine, unless they were the same in the
+    /// heartbeat before: `known`.
     pub(super) fn log_tasks_without_placement(
         &mut self,
         ctx: &mut Context,
@@ -27,10 +27,10 @@
         known: &[UnexpectedTask],
     ) {
         let Some(m) = self.fleet.machines.get(machine) else { return };
-        let is_known =
-            |task: &&UnexpectedTask| known.iter().any(|other| other.attempt == task.attempt && other.task == task.task);
-        let appeared: Vec<UnexpectedTask> =
-            m.agent.unexpected_tasks.iter().filter(|task| !is_known(task)).cloned().collect();
+        // An earlier leader may not have told the agent to forget the tasks that ended in its time.
+        let is_leftover = |task: &UnexpectedTask| task.exit.is_some() && task.attempt.epoch() < self.epoch;
+        let is_reportable = |task: &&UnexpectedTask| !is_leftover(task) && has_appeared(task, known);
+        let appeared: Vec<UnexpectedTask> = m.agent.unexpected_tasks.iter().filter(is_reportable).cloned().collect();
         for task in appeared {
             let report = heartbeat.tasks.iter().find(|r| r.attempt == task.attempt && r.task == task.task);
             let status = report.map_or(TaskStatus::Unknown, |report| report.status);
@@ -110,6 +110,16 @@
     }
 }
 
+/// Whether a task without placement is not among those of the heartbeat before, or had ended then in another way: the
+/// agent was told to forget it meanwhile, and has started it again.
+fn has_appeared(task: &UnexpectedTask, known: &[UnexpectedTask]) -> bool {
+    let is_same = |other: &UnexpectedTask| {
+        let same_attempt = other.attempt == task.attempt && other.task == task.task;
+        same_attempt && (other.exit.is_none() || other.exit == task.exit)
+    };
+    !known.iter().any(is_same)
+}
+
 fn attempt_on(machine: &Id, token: FencingToken, task: String, attempt: Attempt) -> AttemptOnMachine {
     AttemptOnMachine { task, attempt, machine: machine.clone(), token }
 }
@@ -120,3 +130,6 @@
     let found = ended.find(|ended| ended.attempt == attempt && ended.task == task);
     found.and_then(|ended| ended.exit).unwrap_or(ExitCause::Unknown)
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/leader/heartbeats.rs
+++ b/crates/core/src/leader/heartbeats.rs
@@ -193,9 +193,7 @@
             self.fleet.calls.call_soon(machine.clone());
         }
         self.step_down_if_exhausted(raised);
-        if token_is_current {
-            self.log_tasks_without_placement(ctx, heartbeat, machine, &known);
-        }
+        self.log_tasks_without_placement(ctx, heartbeat, machine, &known);
         effects
     }
 
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -99,6 +99,11 @@
     pub fn new(epoch: Epoch, counter: u64) -> Attempt {
         Attempt((epoch.0 << Self::COUNTER_BITS) + counter.min(Self::MAX_COUNTER))
     }
+
+    /// Epoch of the leader that chose the attempt.
+    pub fn epoch(self) -> Epoch {
+        Epoch(self.0 >> Self::COUNTER_BITS)
+    }
 }
 
 numeric_id! {
