--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -56,8 +56,7 @@
             Event::OwnedMachinesRecorded { machines } => vec![field("machines", *machines)],
             Event::SettingTooSmall(insufficient) => insufficient_setting_fields(insufficient),
             Event::ScaleOutGranted { request, zone, granted, requested } => {
-                let counts = [field("granted", *granted), field("requested", *requested)];
-                scale_out_fields(request, zone).into_iter().chain(counts).collect()
+                granted_fields(request, zone, *granted, *requested)
             }
             Event::ScaleOutNoCapacity { request, zone } => scale_out_fields(request, zone),
             Event::ScaleOutRejected { request, reason } => {
@@ -81,6 +80,11 @@
     vec![field("request", request), field("zone", zone)]
 }
 
+fn granted_fields<'a>(request: &'a str, zone: &'a str, granted: usize, requested: u32) -> Vec<Field<'a>> {
+    let counts = [field("granted", granted), field("requested", requested)];
+    scale_out_fields(request, zone).into_iter().chain(counts).collect()
+}
+
 fn task_failed_fields<'a>(task: &'a str, machine: &'a str, cause: &ExitCause) -> Vec<Field<'a>> {
     vec![field("task", task), field("machine", machine), field("cause", format!("{cause:?}"))]
 }
--- a/crates/simulation/tests/common/leader.rs
+++ b/crates/simulation/tests/common/leader.rs
@@ -191,6 +191,16 @@
         self.execute_commands(reply.commands);
     }
 
+    /// Has the machine see a fencing token, as if a command under it had arrived.
+    pub fn show_token(&mut self, token: FencingToken) {
+        self.token = self.token.max(token);
+    }
+
+    /// Highest fencing token that the machine has seen.
+    pub fn seen_token(&self) -> FencingToken {
+        self.token
+    }
+
     /// Sends a user's request or a heartbeat under a new identifier, and returns the identifier.
     pub fn send(&mut self, command: impl FnOnce(u64) -> Command) -> u64 {
         self.last_request += 1;
