--- a/crates/core/src/leader/fleet/mod.rs
+++ b/crates/core/src/leader/fleet/mod.rs
@@ -73,19 +73,21 @@
     }
 
     /// Sets the address of a machine, which another machine may have had. The machine's token is raised above those of
-    /// all calls to that address, so that its agent refuses copies of calls that were meant for the other machine.
+    /// all calls to that address, so that its agent refuses copies of calls that were meant for the other machine. The
+    /// other machine has no address until it reports one.
     ///
     /// # Errors
     ///
     /// If the token cannot be raised that far in this epoch.
     pub(crate) fn set_endpoint(&mut self, id: &str, endpoint: &str) -> Result<(), TokenExhausted> {
-        let at_address = |machine: &&Machine| machine.agent.endpoint == endpoint && *machine.id != *id;
-        let others = self.machines.values().filter(at_address).map(|machine| machine.agent.fencing.counter() + 1);
-        let lowest = others.max().unwrap_or(0).max(self.free_counter);
-        let Some(machine) = self.machines.get_mut(id) else { return Ok(()) };
-        if !machine.agent.endpoint.is_empty() {
-            self.free_counter = self.free_counter.max(machine.agent.fencing.counter() + 1);
+        let loses_address = |machine: &&mut Machine| machine.agent.endpoint == endpoint || *machine.id == *id;
+        for machine in self.machines.values_mut().filter(loses_address) {
+            if !std::mem::take(&mut machine.agent.endpoint).is_empty() {
+                self.free_counter = self.free_counter.max(machine.agent.fencing.counter() + 1);
+            }
         }
+        let lowest = self.free_counter;
+        let Some(machine) = self.machines.get_mut(id) else { return Ok(()) };
         machine.agent.endpoint = endpoint.to_string();
         if machine.agent.fencing.counter() < lowest { machine.agent.raise_token_above(lowest - 1) } else { Ok(()) }
     }
--- a/crates/core/src/leader/fleet/tests.rs
+++ b/crates/core/src/leader/fleet/tests.rs
@@ -36,6 +36,15 @@
     assert!(token_of_direct_start(&mut fleet, "vm-2") > old);
 }
 
+#[test]
+fn a_machine_whose_address_another_reports_is_not_called_any_more() {
+    let mut fleet = fleet_with(&["vm-1", "vm-2"]);
+    token_of_direct_start(&mut fleet, "vm-1");
+    token_of_direct_start(&mut fleet, "vm-2");
+    assert!(!fleet.machines.get("vm-1").unwrap().agent.can_be_called());
+    assert_eq!(fleet.machines.get("vm-2").unwrap().agent.endpoint, ADDRESS);
+}
+
 #[test]
 fn a_machine_refuses_calls_to_a_machine_that_left_its_address() {
     let mut fleet = fleet_with(&["vm-1", "vm-2"]);
