--- a/crates/core/src/leader/autoscaler/machine_list.rs
+++ b/crates/core/src/leader/autoscaler/machine_list.rs
@@ -160,7 +160,7 @@
         if listed.status == ListedMachineStatus::Failed {
             machine.lifecycle.scale_in_wanted = true;
         }
-        if machine.agent.endpoint.is_empty() {
+        if self.fleet.takes_listed_endpoint(&id, &listed.endpoint) {
             self.update_endpoint(&id, &listed.endpoint);
         }
     }
--- a/crates/core/src/leader/fencing.rs
+++ b/crates/core/src/leader/fencing.rs
@@ -54,16 +54,22 @@
     commands: &mut Vec<TaskCommand>,
 ) -> Result<(), TokenExhausted> {
     let fencing = &mut machine.agent.fencing;
-    let forgets_unfenced = |fencing: &Fencing, command: &TaskCommand| matches!(command, TaskCommand::Forget { attempt, .. } if fencing.direct_starts().contains(attempt));
-    if !commands.iter().any(|command| forgets_unfenced(fencing, command)) {
+    if !commands.iter().any(|command| forgets_unfenced_attempt(command, fencing)) {
         return Ok(());
     }
     let fenced = fencing.fence_direct_starts();
     if fenced.is_err() {
-        commands.retain(|command| !forgets_unfenced(fencing, command));
+        commands.retain(|command| !forgets_unfenced_attempt(command, fencing));
     }
     fenced
 }
 
+fn forgets_unfenced_attempt(command: &TaskCommand, fencing: &Fencing) -> bool {
+    match command {
+        TaskCommand::Forget { attempt, .. } => fencing.direct_starts().contains(attempt),
+        TaskCommand::Run { .. } | TaskCommand::Stop { .. } => false,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/core/src/leader/fleet/machines.rs
+++ b/crates/core/src/leader/fleet/machines.rs
@@ -19,6 +19,8 @@
     machines: BTreeMap<Id, Machine>,
     /// Machine names by free CPUs, in thousandths of a CPU.
     by_free_cores: BTreeMap<i64, BTreeSet<Id>>,
+    /// Machine names by address. No two machines have the same address.
+    by_endpoint: BTreeMap<String, Id>,
 }
 
 impl Deref for MachineIndex {
@@ -37,17 +39,45 @@
         self.machines.values_mut()
     }
 
-    /// Adds a machine; replaces a machine of the same name.
-    pub(crate) fn insert(&mut self, machine: Machine) {
+    /// Adds a machine; replaces a machine of the same name. A machine that has the same address has none any more.
+    pub(crate) fn insert(&mut self, mut machine: Machine) {
         let (id, free) = (machine.id.clone(), machine.free().cores);
+        let endpoint = std::mem::take(&mut machine.agent.endpoint);
+        self.clear_endpoint(&id);
         if let Some(old) = self.machines.insert(id.clone(), machine) {
             self.remove_from_index(&id, old.free().cores);
         }
-        self.by_free_cores.entry(free).or_default().insert(id);
+        self.by_free_cores.entry(free).or_default().insert(id.clone());
+        if !endpoint.is_empty() {
+            self.set_endpoint(&id, endpoint);
+        }
+    }
+
+    /// Name of the machine that has the address.
+    pub(crate) fn machine_at(&self, endpoint: &str) -> Option<&Id> {
+        self.by_endpoint.get(endpoint)
+    }
+
+    /// Sets the address of a machine; a machine that has the same address has none any more.
+    pub(crate) fn set_endpoint(&mut self, id: &str, endpoint: String) {
+        self.clear_endpoint(id);
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        machine.agent.endpoint.clone_from(&endpoint);
+        let former = self.by_endpoint.insert(endpoint, machine.id.clone());
+        if let Some(other) = former.and_then(|other| self.machines.get_mut(&other)) {
+            other.agent.endpoint.clear();
+        }
+    }
+
+    fn clear_endpoint(&mut self, id: &str) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let endpoint = std::mem::take(&mut machine.agent.endpoint);
+        self.by_endpoint.remove(&endpoint);
     }
 
     pub(crate) fn remove(&mut self, id: &str) -> Option<Machine> {
         let machine = self.machines.remove(id)?;
+        self.by_endpoint.remove(&machine.agent.endpoint);
         self.remove_from_index(id, machine.free().cores);
         Some(machine)
     }
@@ -139,11 +169,16 @@
         self.by_free_cores.range(cores..).rev().flat_map(|(_, ids)| ids).filter_map(|id| self.machines.get(id))
     }
 
-    /// Whether the index by free CPUs agrees with the machines.
+    /// Whether the indexes by free CPUs and by address agree with the machines.
     pub(crate) fn is_consistent(&self) -> bool {
+        let has_endpoint = |m: &&Machine| !m.agent.endpoint.is_empty();
+        let is_found = |m: &Machine| self.machine_at(&m.agent.endpoint) == Some(&m.id);
+        let with_endpoint = self.machines.values().filter(has_endpoint);
+        let endpoints_agree =
+            with_endpoint.clone().count() == self.by_endpoint.len() && with_endpoint.clone().all(is_found);
         let indexed_count: usize = self.by_free_cores.values().map(BTreeSet::len).sum();
         let is_indexed = |m: &Machine| self.by_free_cores.get(&m.free().cores).is_some_and(|ids| ids.contains(&m.id));
-        indexed_count == self.machines.len() && self.machines.values().all(is_indexed)
+        endpoints_agree && indexed_count == self.machines.len() && self.machines.values().all(is_indexed)
     }
 }
 
--- a/crates/core/src/leader/fleet/machines/tests.rs
+++ b/crates/core/src/leader/fleet/machines/tests.rs
@@ -87,3 +87,23 @@
     assert_eq!(idle_since(&fleet), NOW);
     assert!(fleet.is_consistent() && fleet["vm-000001"].capacity.used == Resources::default());
 }
+
+#[test]
+fn an_address_belongs_to_the_machine_that_got_it_last() {
+    let at = |number: u32, endpoint: &str| {
+        let mut machine = machine(number, 16.0);
+        machine.agent.endpoint = endpoint.into();
+        machine
+    };
+    let mut fleet = MachineIndex::default();
+    fleet.insert(at(1, "10.1.0.1:9000"));
+    fleet.insert(at(2, "10.1.0.1:9000"));
+    assert_eq!(fleet.machine_at("10.1.0.1:9000"), Some(&fleet["vm-000002"].id));
+    assert!(fleet["vm-000001"].agent.endpoint.is_empty() && fleet.is_consistent());
+    fleet.set_endpoint("vm-000001", "10.1.0.1:9000".into());
+    assert!(fleet["vm-000002"].agent.endpoint.is_empty() && fleet.is_consistent());
+    fleet.insert(at(1, "10.1.0.3:9000"));
+    assert!(fleet.machine_at("10.1.0.1:9000").is_none() && fleet.is_consistent());
+    fleet.remove("vm-000001");
+    assert!(fleet.machine_at("10.1.0.3:9000").is_none() && fleet.is_consistent());
+}
--- a/crates/core/src/leader/fleet/mod.rs
+++ b/crates/core/src/leader/fleet/mod.rs
@@ -80,18 +80,24 @@
     ///
     /// If the token cannot be raised that far in this epoch.
     pub(crate) fn set_endpoint(&mut self, id: &str, endpoint: &str) -> Result<(), TokenExhausted> {
-        let loses_address = |machine: &&mut Machine| machine.agent.endpoint == endpoint || *machine.id == *id;
-        for machine in self.machines.values_mut().filter(loses_address) {
-            if !std::mem::take(&mut machine.agent.endpoint).is_empty() {
-                self.free_counter = self.free_counter.max(machine.agent.fencing.counter() + 1);
-            }
+        let former = self.machines.machine_at(endpoint).and_then(|other| self.machines.get(other));
+        let own = self.machines.get(id).filter(|machine| !machine.agent.endpoint.is_empty());
+        for machine in former.into_iter().chain(own) {
+            self.free_counter = self.free_counter.max(machine.agent.fencing.counter() + 1);
         }
+        self.machines.set_endpoint(id, endpoint.to_string());
         let lowest = self.free_counter;
         let Some(machine) = self.machines.get_mut(id) else { return Ok(()) };
-        machine.agent.endpoint = endpoint.to_string();
         if machine.agent.fencing.counter() < lowest { machine.agent.raise_token_above(lowest - 1) } else { Ok(()) }
     }
 
+    /// Whether a machine gets the address with which the cloud lists it: if it has none, and no other machine has that
+    /// address. A machine that is gone is listed for a while, perhaps with the address that another one reports.
+    pub(crate) fn takes_listed_endpoint(&self, id: &str, endpoint: &str) -> bool {
+        let has_none = self.machines.get(id).is_some_and(|machine| machine.agent.endpoint.is_empty());
+        has_none && self.machines.machine_at(endpoint).is_none()
+    }
+
     /// Queues every machine that can be called for a confirmation of the fencing token.
     pub(crate) fn confirm_all_tokens(&mut self) {
         let callable = self.machines.values().filter(|machine| machine.agent.can_be_called());
--- a/crates/core/src/leader/fleet/tests.rs
+++ b/crates/core/src/leader/fleet/tests.rs
@@ -45,6 +45,16 @@
     assert_eq!(fleet.machines.get("vm-2").unwrap().agent.endpoint, ADDRESS);
 }
 
+#[test]
+fn the_list_gives_no_machine_an_address_that_another_one_reports() {
+    let mut fleet = fleet_with(&["vm-1", "vm-2"]);
+    assert!(fleet.takes_listed_endpoint("vm-1", ADDRESS));
+    token_of_direct_start(&mut fleet, "vm-1");
+    token_of_direct_start(&mut fleet, "vm-2");
+    assert!(!fleet.takes_listed_endpoint("vm-1", ADDRESS), "vm-2 reports it");
+    assert!(!fleet.takes_listed_endpoint("vm-2", "10.1.0.1:9000"), "vm-2 has one");
+}
+
 #[test]
 fn a_machine_refuses_calls_to_a_machine_that_left_its_address() {
     let mut fleet = fleet_with(&["vm-1", "vm-2"]);
--- a/crates/core/src/leader/scheduler/fixture.rs
+++ b/crates/core/src/leader/scheduler/fixture.rs
@@ -93,7 +93,7 @@
         machine.owned = true;
         machine.capacity = Capacity { total: Resources::new(16.0, 0.0, 64.0), used: Resources::default() };
         machine.record.committed = true;
-        machine.agent.endpoint = "http://machine".into();
+        machine.agent.endpoint = format!("http://{}", machine.id);
         machine.agent.epoch = AgentEpoch(1);
         machine.agent.last_heartbeat_ms = Some(NOW.monotonic_ms);
         change(&mut machine);
