--- a/crates/core/src/api/acceptance.rs
+++ b/crates/core/src/api/acceptance.rs
@@ -61,6 +61,11 @@
     }
 }
 
+/// The preconditions that a job has neither been accepted nor ended.
+pub(super) fn job_is_unknown(job: &str) -> [Precondition; 2] {
+    [keys::job(job), keys::final_record(job)].map(|key| Precondition { key, version: Revision::ABSENT })
+}
+
 /// Submissions that wait for an accepting transaction, oldest first.
 #[derive(Debug, Default)]
 pub(super) struct AcceptanceQueue {
@@ -170,9 +175,7 @@
         if self.estimated_bytes > MAX_TRANSACTION_BYTES && !self.submissions.is_empty() {
             return Err(Box::new(submission));
         }
-        let final_key = keys::final_record(submission.job());
-        self.transaction.preconditions.push(Precondition { key: job_key, version: Revision::ABSENT });
-        self.transaction.preconditions.push(Precondition { key: final_key, version: Revision::ABSENT });
+        self.transaction.preconditions.extend(job_is_unknown(submission.job()));
         self.transaction.writes.push(Write::set(submission.record_key(), record));
         self.submissions.push(submission);
         Ok(())
--- a/crates/core/src/api/split_submission.rs
+++ b/crates/core/src/api/split_submission.rs
@@ -5,7 +5,7 @@
 //! leader removes parts that no record refers to, the first part before the others, so that a job record written later
 //! fails its precondition.
 
-use crate::api::acceptance::PendingSubmission;
+use crate::api::acceptance::{PendingSubmission, job_is_unknown};
 use crate::controller::Context;
 use crate::io::RequestId;
 use crate::records::{SplitSubmissionRecord, keys};
@@ -118,7 +118,8 @@
     /// The transaction of the next parts. The job must not be known: a copy of the transaction that arrives after the end
     /// of the job would create parts again that nobody removes.
     fn parts_transaction(&self, count: usize) -> Transaction {
-        let mut transaction = Transaction { preconditions: self.job_is_unknown().into(), writes: Vec::new() };
+        let preconditions = job_is_unknown(self.submission.job()).into();
+        let mut transaction = Transaction { preconditions, writes: Vec::new() };
         for (number, part) in self.parts.iter().enumerate().skip(self.written).take(count) {
             transaction.preconditions.push(Precondition { key: self.part_key(number), version: Revision::ABSENT });
             transaction.writes.push(Write::set(self.part_key(number), json!(part)));
@@ -135,17 +136,11 @@
             cancelled: false,
             has_cancellation_key: false,
         };
-        let mut preconditions = Vec::from(self.job_is_unknown());
+        let mut preconditions = Vec::from(job_is_unknown(job));
         preconditions.push(Precondition { key: self.part_key(0), version: self.first_part_version });
         Transaction { preconditions, writes: vec![Write::set(keys::job(job), json!(record))] }
     }
 
-    /// The preconditions that the job has neither been accepted nor ended.
-    fn job_is_unknown(&self) -> [Precondition; 2] {
-        let job = self.submission.job();
-        [keys::job(job), keys::final_record(job)].map(|key| Precondition { key, version: Revision::ABSENT })
-    }
-
     fn part_key(&self, number: usize) -> String {
         format!("{}{number:04}", self.prefix)
     }
--- a/crates/core/src/leader/direct_calls.rs
+++ b/crates/core/src/leader/direct_calls.rs
@@ -26,12 +26,12 @@
             |job: &str, task: u32| jobs.get(job).is_some_and(|job| job.writes.tasks.contains_key(&task));
         let mut planned = commands_for(m, channel, outcome_pending);
         for placement_id in &planned.starts {
+            let Some(placement) = m.placement_mut(*placement_id) else { continue };
+            placement.start_sent = true;
+            let attempt = placement.attempt;
             match channel {
                 CommandChannel::HeartbeatReply => m.call.remove_first_start(*placement_id),
-                CommandChannel::DirectCall => m.record_direct_start(*placement_id),
-            }
-            if let Some(placement) = m.placement_mut(*placement_id) {
-                placement.start_sent = true;
+                CommandChannel::DirectCall => m.agent.fencing.record_direct_start(attempt),
             }
         }
         let fenced = fence_forgotten_attempts(m, &mut planned.commands);
--- a/crates/simulation/src/scenario/options.rs
+++ b/crates/simulation/src/scenario/options.rs
@@ -4,6 +4,9 @@
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
+/// Environment variable with the requests that arrive once more.
+const REPEATED: &str = "REPEATED";
+
 /// Options that hold for all scenarios of a run.
 #[derive(Debug, Clone, Default)]
 pub struct RunOptions {
@@ -42,9 +45,6 @@
     }
 }
 
-/// Environment variable with the requests that arrive once more.
-const REPEATED: &str = "REPEATED";
-
 fn parse_repetitions(text: &str) -> Result<Vec<Repetition>, InvalidOption> {
     let expected = "`KIND PERCENT MIN MAX` with a kind of requests or `all`, a percentage and two times in seconds";
     let invalid = || InvalidOption { variable: REPEATED, value: text.into(), expected };
