--- a/review/standin-2/src/cases.rs
+++ b/review/standin-2/src/cases.rs
@@ -17,6 +17,7 @@
         "full-report" => full_report(folder, record, trouble),
         "chaos" => search::chaos(folder, record, trouble),
         "big" => search::big(folder, record),
+        "polls" => search::polls(folder, record, trouble),
         _ => 2,
     }
 }
--- a/review/standin-2/src/search.rs
+++ b/review/standin-2/src/search.rs
@@ -1,7 +1,7 @@
 //! Searches without a case of their own: troubles at random, and the largest jobs.
 
 use crate::controllers::{Cut, Link};
-use crate::site::{finish, leader, small_site, start, wait};
+use crate::site::{finish, leader, mill, small_site, start, wait};
 use crate::store::Way;
 use crate::users::{self, Plan, job, with};
 use crate::world::Rng;
@@ -241,3 +241,31 @@
     wait(&world, std::env::var("UNTIL").ok().and_then(|s| s.parse().ok()).unwrap_or(90.0));
     finish(&world, "")
 }
+
+/// Many users who poll, an outage of the state service, an end of all controllers, and repeated writes.
+pub fn polls(folder: &Path, record: &Path, trouble: bool) -> i32 {
+    let mut site = mill();
+    site.rps = std::env::var("RPS").ok().and_then(|s| s.parse().ok()).unwrap_or(site.rps);
+    let world = start(site, &[3, 3, 4], folder, record);
+    wait(&world, 6.0);
+    if trouble {
+        world.store.set_lossy(0.0, 0.0, 0.5);
+    }
+    for n in 0..400 {
+        let j = job(&format!("wk-{:06}", 100 + n), "renshi-xitong", false, 1, 0.25, 0.25, 400.0);
+        let submit_at = 6.0 + 0.035 * f64::from(n);
+        users::live(world.clone(), j, Plan { submit_at, cancel_at: None, again_at: None });
+    }
+    wait(&world, 22.0);
+    if trouble {
+        world.store.set_down(world.now(), true);
+        wait(&world, 36.0);
+        world.controllers().kill_all(&world);
+        wait(&world, 40.0);
+        world.store.set_down(world.now(), false);
+        wait(&world, 41.0);
+        (0..3).for_each(|n| world.controllers().start(&world, n));
+    }
+    wait(&world, 118.0);
+    finish(&world, "forgotten")
+}
