--- a/crates/core/src/api/dependencies.rs
+++ b/crates/core/src/api/dependencies.rs
@@ -30,6 +30,10 @@
     pub state: DependencyState,
     /// Whether the dependencies are too many to be looked up for each query.
     pub is_long: bool,
+    /// Number of dependencies examined.
+    pub examined: usize,
+    /// Time of the oldest confirmation that counted, on the monotonic clock; `None` if all dependencies have ended.
+    pub oldest_confirmation_ms: Option<u64>,
 }
 
 /// Evaluates dependencies by following them through the known jobs. An unfinished job counts as known only if it was
@@ -44,6 +48,7 @@
     let mut to_visit: Vec<&String> = dependencies.iter().collect();
     let mut unknown = Vec::new();
     let mut any_cancelled = false;
+    let mut oldest_confirmation_ms: Option<u64> = None;
     while let Some(job) = to_visit.pop() {
         if !seen.insert(job) {
             continue;
@@ -52,6 +57,8 @@
             KnownJob::Final(FinalState::Done { .. }) => {}
             KnownJob::Final(FinalState::Cancelled) => any_cancelled = true,
             KnownJob::Unfinished(unfinished) if unfinished.confirmed_at.is_at_or_after(since) => {
+                let confirmed_ms = unfinished.confirmed_at.at_ms;
+                oldest_confirmation_ms = Some(oldest_confirmation_ms.map_or(confirmed_ms, |at| at.min(confirmed_ms)));
                 to_visit.extend(&unfinished.dependencies);
             }
             KnownJob::Unfinished(_) | KnownJob::Unknown => unknown.push(job.clone()),
@@ -69,7 +76,7 @@
         (true, true) => DependencyState::Cancelled,
         (true, false) => DependencyState::NoneCancelled,
     };
-    DependencyReport { state, is_long }
+    DependencyReport { state, is_long, examined: seen.len(), oldest_confirmation_ms }
 }
 
 /// Recently queried jobs with long lists of dependencies. Their dependencies are looked up periodically in the
--- a/crates/core/src/api/dependency_checks.rs
+++ b/crates/core/src/api/dependency_checks.rs
@@ -33,8 +33,7 @@
         self.long_lists.track(&query.job, ctx.now_ms() + (ctx.settings.cancel_s * 1000.0) as u64);
         let recent = recency_threshold(ctx);
         let since = BatchTime { at_ms: since.at_ms.min(recent.at_ms), ..recent };
-        let state = dependencies::resolve(&self.known, &known.dependencies, since).state;
-        Some(DependencyReport { state, is_long: true })
+        Some(DependencyReport { is_long: true, ..dependencies::resolve(&self.known, &known.dependencies, since) })
     }
 
     /// Requests dependency lookups: by comparison for jobs whose record version is known, by reads for the others.
--- a/crates/core/src/api/queries.rs
+++ b/crates/core/src/api/queries.rs
@@ -2,13 +2,14 @@
 
 use crate::api::answers::{self, UnavailableReason};
 use crate::api::comparisons::ComparisonLimits;
-use crate::api::dependencies::{self, DependencyState};
+use crate::api::dependencies::{self, DependencyReport, DependencyState};
 use crate::api::job_query::{JobQuery, QueryPurpose};
 use crate::api::known_jobs::FinalState;
 use crate::api::lookups::DeferredRequest;
 use crate::api::requests::{self, ApiRequest};
 use crate::api::{Api, TaskCountSource};
 use crate::controller::{BatchTime, Context};
+use crate::event::Event;
 use crate::io::KvRequest;
 use crate::records::keys;
 use crate::settings::Settings;
@@ -95,6 +96,7 @@
             self.reply_progress(ctx, &query, progress);
             return;
         };
+        emit_check(ctx, &query.job, &report);
         match report.state {
             DependencyState::NoneCancelled => self.reply_progress(ctx, &query, progress),
             DependencyState::Cancelled if report.is_long => {
@@ -143,6 +145,24 @@
     }
 }
 
+/// Logs a decision that rests on the states of a job's dependencies.
+fn emit_check(ctx: &mut Context, job: &str, report: &DependencyReport) {
+    let any_cancelled = match report.state {
+        DependencyState::NoneCancelled if report.examined == 0 => return,
+        DependencyState::Unknown(_) => return,
+        DependencyState::NoneCancelled => false,
+        DependencyState::Cancelled => true,
+    };
+    let age_ms = report.oldest_confirmation_ms.map_or(0, |at_ms| ctx.now_ms().saturating_sub(at_ms));
+    let oldest_confirmation_s = age_ms as f64 / 1000.0;
+    ctx.emit(Event::JobDependenciesChecked {
+        job: job.into(),
+        any_cancelled,
+        examined: report.examined,
+        oldest_confirmation_s,
+    });
+}
+
 /// Returns the maximum time that a status query waits for its comparison batch to fill, in milliseconds.
 fn comparison_delay_ms(settings: &Settings) -> u64 {
     let interval_ms = 1000.0 / (settings.kv_rps * COMPARISON_RATE_FRACTION);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -121,6 +121,17 @@
         /// Identifier of the dependent job.
         job: Id,
     },
+    /// A user's question about a job that depends on others was decided by the known states of its dependencies.
+    JobDependenciesChecked {
+        /// Identifier of the job.
+        job: Id,
+        /// Whether a dependency is cancelled.
+        any_cancelled: bool,
+        /// Number of dependencies examined, direct and transitive.
+        examined: usize,
+        /// Age of the oldest confirmation that an examined dependency is unfinished, in seconds; 0 if all have ended.
+        oldest_confirmation_s: f64,
+    },
     /// A job that would miss its deadline on owned machines is offloaded to rented machines.
     JobOffloaded {
         /// Identifier of the job.
@@ -223,7 +234,7 @@
 
 impl Event {
     /// Names of all events, in the order of the variants. `docs/operations.md` has an entry for each.
-    pub const NAMES: [&str; 40] = [
+    pub const NAMES: [&str; 41] = [
         "leader_elected",
         "leader_state_loaded",
         "leader_stepped_down",
@@ -242,6 +253,7 @@
         "job_completed",
         "job_dependencies_met",
         "job_cancelled_by_dependency",
+        "job_dependencies_checked",
         "job_offloaded",
         "task_failed",
         "task_start_repeated",
@@ -295,6 +307,7 @@
             | Event::JobCompleted { .. }
             | Event::JobDependenciesMet { .. }
             | Event::JobCancelledByDependency { .. }
+            | Event::JobDependenciesChecked { .. }
             | Event::JobOffloaded { .. }
             | Event::TaskFailed { .. }
             | Event::TasksPreempted { .. }
@@ -327,6 +340,7 @@
             Event::JobCompleted { .. } => "job_completed",
             Event::JobDependenciesMet { .. } => "job_dependencies_met",
             Event::JobCancelledByDependency { .. } => "job_cancelled_by_dependency",
+            Event::JobDependenciesChecked { .. } => "job_dependencies_checked",
             Event::JobOffloaded { .. } => "job_offloaded",
             Event::TaskFailed { .. } => "task_failed",
             Event::Agent(event) => event.name(),
--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -39,6 +39,11 @@
             | Event::JobDependenciesMet { job }
             | Event::JobCancelledByDependency { job }
             | Event::JobOffloaded { job } => vec![field("job", &**job)],
+            Event::JobDependenciesChecked { job, any_cancelled, examined, oldest_confirmation_s } => {
+                let result = vec![field("job", &**job), field("any_cancelled", *any_cancelled)];
+                let basis = [field("examined", *examined), field("oldest_confirmation_s", *oldest_confirmation_s)];
+                result.into_iter().chain(basis).collect()
+            }
             Event::TaskFailed { task, machine, cause } => task_failed_fields(task, machine, cause),
             Event::Agent(event) => event.fields(),
             Event::TasksPreempted { machine, job, tasks } => {
--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 /// Number of variants of [`Event`], with those of [`AgentEvent`] in place of their common one.
-const VARIANT_COUNT: usize = 40;
+const VARIANT_COUNT: usize = 41;
 
 /// Index of an event among the samples. The match is exhaustive, so a new variant fails to compile until it is added
 /// here, and the tests fail until it is added to the samples.
@@ -28,22 +28,23 @@
         Event::JobCompleted { .. } => 15,
         Event::JobDependenciesMet { .. } => 16,
         Event::JobCancelledByDependency { .. } => 17,
-        Event::JobOffloaded { .. } => 18,
-        Event::TaskFailed { .. } => 19,
-        Event::Agent(event) => 20 + agent_event_index(event),
-        Event::TasksPreempted { .. } => 27,
-        Event::MachineAdopted { .. } => 28,
-        Event::MachineInterruptionNotice { .. } => 29,
-        Event::MachineLeaseExpired { .. } => 30,
-        Event::MachineQuarantined { .. } => 31,
-        Event::MachineSlow { .. } => 32,
-        Event::ZoneUnreachable { .. } => 33,
-        Event::OwnedMachinesRecorded { .. } => 34,
-        Event::SettingTooSmall(_) => 35,
-        Event::ScaleOutGranted { .. } => 36,
-        Event::ScaleOutNoCapacity { .. } => 37,
-        Event::ScaleOutRejected { .. } => 38,
-        Event::ScaleInCompleted { .. } => 39,
+        Event::JobDependenciesChecked { .. } => 18,
+        Event::JobOffloaded { .. } => 19,
+        Event::TaskFailed { .. } => 20,
+        Event::Agent(event) => 21 + agent_event_index(event),
+        Event::TasksPreempted { .. } => 28,
+        Event::MachineAdopted { .. } => 29,
+        Event::MachineInterruptionNotice { .. } => 30,
+        Event::MachineLeaseExpired { .. } => 31,
+        Event::MachineQuarantined { .. } => 32,
+        Event::MachineSlow { .. } => 33,
+        Event::ZoneUnreachable { .. } => 34,
+        Event::OwnedMachinesRecorded { .. } => 35,
+        Event::SettingTooSmall(_) => 36,
+        Event::ScaleOutGranted { .. } => 37,
+        Event::ScaleOutNoCapacity { .. } => 38,
+        Event::ScaleOutRejected { .. } => 39,
+        Event::ScaleInCompleted { .. } => 40,
     }
 }
 
@@ -203,6 +204,16 @@
             Debug,
             "event=job_cancelled_by_dependency job=wk-000412",
         ),
+        (
+            Event::JobDependenciesChecked {
+                job: job.clone(),
+                any_cancelled: false,
+                examined: 273,
+                oldest_confirmation_s: 4.25,
+            },
+            Debug,
+            "event=job_dependencies_checked job=wk-000412 any_cancelled=false examined=273 oldest_confirmation_s=4.25",
+        ),
         (Event::JobOffloaded { job: job.clone() }, Debug, "event=job_offloaded job=wk-000412"),
         (
             Event::TaskFailed { task: "wk-000412/3".into(), machine: machine.clone(), cause: ExitCause::UnknownTask },
