--- a/crates/core/src/api/dependencies.rs
+++ b/crates/core/src/api/dependencies.rs
@@ -7,7 +7,7 @@
 /// Maximum number of one job's dependencies that are looked up together, so that a long list does not delay the lookups
 /// for other jobs.
 pub(super) const MAX_LOOKUPS_PER_ROUND: usize = 64;
-/// Maximum number of dependencies that are looked up for each query. A list with more is long.
+/// Maximum number of dependencies that are looked up within the time for one query. A list with more is long.
 const MAX_LOOKUPS_PER_QUERY: usize = MAX_LOOKUPS_PER_ROUND * 4;
 /// Maximum number of jobs with long lists whose dependencies are refreshed in the background.
 const MAX_TRACKED_LONG_LISTS: usize = 8;
@@ -28,21 +28,26 @@
 pub(super) struct DependencyReport {
     /// The combined state.
     pub state: DependencyState,
-    /// Whether the dependencies are too many to be looked up for each query.
-    pub is_long: bool,
     /// Number of dependencies examined.
     pub examined: usize,
     /// Time of the oldest confirmation that counted, on the monotonic clock; `None` if all dependencies have ended.
     pub oldest_confirmation_ms: Option<u64>,
 }
 
+impl DependencyReport {
+    /// Returns whether the dependencies are too many to be looked up within the time for one query, so that they are
+    /// looked up between queries too.
+    pub fn is_long(&self) -> bool {
+        self.examined > MAX_LOOKUPS_PER_QUERY
+    }
+}
+
 /// Evaluates dependencies by following them through the known jobs. An unfinished job counts as known only if it was
 /// confirmed as unfinished in the batch `since` or later.
 ///
-/// For a query, `since` is the batch from which on its answer must hold. The answer is then as fresh as if the job's
-/// own record changed together with the records of its dependencies, regardless of which controller leads and of how
-/// long there was no leader. For a new job, whose state has not been reported to anybody, confirmations well within the
-/// time limit of a cancellation are sufficient.
+/// Two controllers may reach different results, since they know different jobs and have confirmed them at different
+/// times. So a result never becomes an answer by itself: a cancelled dependency leads to a cancellation in the job's own
+/// record, which all controllers compare for each query.
 pub(super) fn resolve(known: &KnownJobs, dependencies: &[String], since: BatchTime) -> DependencyReport {
     let mut seen: HashSet<&str> = HashSet::new();
     let mut to_visit: Vec<&String> = dependencies.iter().collect();
@@ -70,13 +75,12 @@
         let direct: HashSet<&String> = dependencies.iter().collect();
         unknown.retain(|job| direct.contains(job) && known.unfinished(job).is_none());
     }
-    let is_long = seen.len() > MAX_LOOKUPS_PER_QUERY;
     let state = match (unknown.is_empty(), any_cancelled) {
         (false, _) => DependencyState::Unknown(unknown),
         (true, true) => DependencyState::Cancelled,
         (true, false) => DependencyState::NoneCancelled,
     };
-    DependencyReport { state, is_long, examined: seen.len(), oldest_confirmation_ms }
+    DependencyReport { state, examined: seen.len(), oldest_confirmation_ms }
 }
 
 /// Recently queried jobs with long lists of dependencies. Their dependencies are looked up periodically in the
--- a/crates/core/src/api/dependency_checks.rs
+++ b/crates/core/src/api/dependency_checks.rs
@@ -3,37 +3,43 @@
 
 use crate::api::answers::{self, RefusalReason, UnavailableReason};
 use crate::api::dependencies::{self, DependencyReport, MAX_LOOKUPS_PER_ROUND};
+use crate::api::dependency_cancellations::CancellationStep;
 use crate::api::job_query::{JobQuery, QueryPurpose};
 use crate::api::lookups::{DeferredRequest, ResumedRequests};
 use crate::api::{Api, TaskCountSource};
 use crate::controller::{BatchTime, Context};
 
+/// Fraction of the store's write rate that all controllers may use to record cancellations by dependencies.
+const CANCELLATION_WRITE_FRACTION: f64 = 0.25;
 /// Fraction of the cancellation time limit (`cancel_s`) for which a confirmation of a dependency counts as recent.
 const RECENT_WINDOW_FRACTION: f64 = 0.25;
 
 impl Api {
-    /// Evaluates the dependencies of a queried job; `None` if the query is a dependency lookup or the job's record is
-    /// not known.
-    pub(super) fn dependency_report(
-        &mut self,
-        ctx: &Context,
-        query: &JobQuery,
-        since: BatchTime,
-    ) -> Option<DependencyReport> {
-        if query.is_dependency_lookup() {
-            return None;
+    /// Evaluates the dependencies of a queried job; `None` if the job's record is not known. The dependencies of a long
+    /// list are then also looked up between queries, for a while.
+    pub(super) fn dependency_report(&mut self, ctx: &Context, job: &str) -> Option<DependencyReport> {
+        let known = self.known.unfinished(job)?;
+        let report = dependencies::resolve(&self.known, &known.dependencies, recency_threshold(ctx));
+        if report.is_long() {
+            self.long_lists.track(job, ctx.now_ms() + (ctx.settings.cancel_s * 1000.0) as u64);
         }
-        let known = self.known.unfinished(&query.job)?;
-        let report = dependencies::resolve(&self.known, &known.dependencies, since);
-        if !report.is_long {
-            return Some(report);
+        Some(report)
+    }
+
+    /// Records the cancellation of a job with a cancelled dependency in the job's own record. The query is answered when
+    /// that is committed, since a controller with other knowledge of the dependencies could otherwise call the job
+    /// unfinished afterwards.
+    pub(super) fn record_dependency_cancellation(&mut self, ctx: &mut Context, query: JobQuery) {
+        let controllers = f64::from(1 + ctx.live_peers());
+        let writes_per_s = ctx.limits.write_rate() * CANCELLATION_WRITE_FRACTION / controllers;
+        let job = query.job.clone();
+        match self.dependency_cancellations.request(query, ctx.now_ms(), writes_per_s) {
+            CancellationStep::Begin => self.read(ctx, JobQuery::dependency_cancellation(job)),
+            CancellationStep::Wait => {}
+            CancellationStep::TooMany(query) => {
+                ctx.answer(query.request, answers::unavailable(UnavailableReason::CancellationPending));
+            }
         }
-        // Thousands of dependencies cannot be looked up for each query, so recent confirmations are sufficient. A
-        // cancellation is then reported only once the job's own record shows it. This holds for every controller.
-        self.long_lists.track(&query.job, ctx.now_ms() + (ctx.settings.cancel_s * 1000.0) as u64);
-        let recent = recency_threshold(ctx);
-        let since = BatchTime { at_ms: since.at_ms.min(recent.at_ms), ..recent };
-        Some(DependencyReport { is_long: true, ..dependencies::resolve(&self.known, &known.dependencies, since) })
     }
 
     /// Requests dependency lookups: by comparison for jobs whose record version is known, by reads for the others.
@@ -85,24 +91,28 @@
         }
     }
 
-    /// Looks up the dependencies of jobs with long lists again, one round at a time. A dependency is due when half of
-    /// the time has passed for which its last confirmation counts as recent.
+    /// Looks up the dependencies of jobs with long lists again, one round at a time.
     pub(super) fn refresh_long_lists(&mut self, ctx: &Context) {
         let now_ms = ctx.now_ms();
         self.long_lists.expire(now_ms, &self.known);
         if !self.lookups.is_idle() || ctx.kv_unavailable() {
             return;
         }
-        let recent = recency_threshold(ctx);
-        let refresh_threshold = BatchTime { at_ms: recent.at_ms.midpoint(now_ms), ..recent };
-        if let Some(jobs) = self.long_lists.stale_dependencies(&self.known, refresh_threshold) {
+        if let Some(jobs) = self.long_lists.stale_dependencies(&self.known, refresh_threshold(ctx)) {
             self.look_up(ctx, jobs);
         }
     }
 }
 
-/// Returns the earliest confirmation of a dependency that is recent enough for a new job or a long list.
+/// Returns the earliest confirmation of a dependency that is recent enough for an answer.
 pub(super) fn recency_threshold(ctx: &Context) -> BatchTime {
     let window_ms = (ctx.settings.cancel_s * 1000.0 * RECENT_WINDOW_FRACTION) as u64;
     BatchTime { batch: 0, at_ms: ctx.now_ms().saturating_sub(window_ms).max(1) }
 }
+
+/// Returns the earliest confirmation of a dependency that need not be renewed yet: half of the time for which it counts
+/// as recent is left.
+pub(super) fn refresh_threshold(ctx: &Context) -> BatchTime {
+    let recent = recency_threshold(ctx);
+    BatchTime { at_ms: recent.at_ms.midpoint(ctx.now_ms()), ..recent }
+}
--- a/crates/core/src/api/job_query.rs
+++ b/crates/core/src/api/job_query.rs
@@ -3,6 +3,7 @@
 use crate::api::NO_REQUEST;
 use crate::api::answers::RefusalReason;
 use crate::io::RequestId;
+use crate::records::CancellationCause;
 
 /// Maximum number of retries of a read or a cancellation after a conflict.
 const MAX_RETRIES: u32 = 3;
@@ -18,6 +19,9 @@
     Refusal(RefusalReason),
     /// A user's cancellation.
     Cancellation,
+    /// A cancellation because a job that this one depends on is cancelled. Users' queries wait for it in
+    /// [`DependencyCancellations`](super::dependency_cancellations::DependencyCancellations).
+    DependencyCancellation,
     /// A lookup for another job that depends on this one. No user waits for an answer.
     DependencyLookup {
         /// Sequence number among the submissions and lookups of this process.
@@ -28,7 +32,7 @@
 /// A query about a job.
 #[derive(Debug, Clone)]
 pub(crate) struct JobQuery {
-    /// The user's request; [`NO_REQUEST`] for a dependency lookup.
+    /// The user's request; [`NO_REQUEST`] for a dependency lookup and for a dependency cancellation.
     pub request: RequestId,
     /// Name of the job.
     pub job: String,
@@ -49,6 +53,23 @@
         JobQuery::new(NO_REQUEST, job, QueryPurpose::DependencyLookup { sequence })
     }
 
+    /// Creates the cancellation of a job that depends on a cancelled one.
+    pub fn dependency_cancellation(job: String) -> JobQuery {
+        JobQuery::new(NO_REQUEST, job, QueryPurpose::DependencyCancellation)
+    }
+
+    /// Returns the cause of the cancellation that the query is to record; `None` if it records none.
+    pub fn cancellation_cause(&self) -> Option<CancellationCause> {
+        match self.purpose {
+            QueryPurpose::Cancellation => Some(CancellationCause::User),
+            QueryPurpose::DependencyCancellation => Some(CancellationCause::Dependency),
+            QueryPurpose::Status
+            | QueryPurpose::Resubmission
+            | QueryPurpose::Refusal(_)
+            | QueryPurpose::DependencyLookup { .. } => None,
+        }
+    }
+
     /// Returns whether the query is a dependency lookup.
     pub fn is_dependency_lookup(&self) -> bool {
         matches!(self.purpose, QueryPurpose::DependencyLookup { .. })
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -6,16 +6,20 @@
 //! State:
 //! - [`KnownJobs`]: the cache of job records;
 //! - [`AcceptanceQueue`] and [`SplitSubmissions`]: submissions in progress;
-//! - [`ComparisonQueue`] and [`ReadBudget`]: queries in progress;
-//! - [`DependencyLookups`] and [`LongDependencyLists`]: lookups of dependencies.
+//! - [`ComparisonQueue`] and [`RateBudget`]: queries in progress;
+//! - [`DependencyLookups`] and [`LongDependencyLists`]: lookups of dependencies;
+//! - [`DependencyCancellations`]: cancellations that follow from those of dependencies.
 //!
 //! Each keeps its own invariants. [`Api`] composes them; the modules `submissions`, `queries`, `dependency_checks` and
 //! `replies` implement the steps of requests.
 //!
 //! Invariants:
-//! - The reported state of a job (unfinished, done or cancelled) is its state in the store after the query arrived.
-//!   Only final states, which never change, are reported from the cache. Counts of running and done tasks are for
-//!   display and may be older.
+//! - The reported state of a job (unfinished, done or cancelled) is that of its own records in the store after the query
+//!   arrived, or later. Only final states, which never change, are reported from the cache. What follows from the
+//!   records of several jobs is written to the job's own record before anyone is told. Counts of running and done tasks
+//!   are for display and may be older.
+//! - A job that depends on others is reported as unfinished only if each of these was confirmed as not cancelled within
+//!   a fraction of the time limit of cancellations.
 //! - Submissions are idempotent: a repeated submission finds the job's record and is answered with the job's state.
 //! - No request stays queued for longer than its maximum wait. It is then answered with 503.
 //!
@@ -24,10 +28,11 @@
 use crate::api::acceptance::AcceptanceQueue;
 use crate::api::comparisons::ComparisonQueue;
 use crate::api::dependencies::LongDependencyLists;
+use crate::api::dependency_cancellations::DependencyCancellations;
 use crate::api::job_query::{JobQuery, QueryPurpose};
 use crate::api::known_jobs::{FinalState, KnownJobs};
 use crate::api::lookups::DependencyLookups;
-use crate::api::read_budget::ReadBudget;
+use crate::api::rate_budget::RateBudget;
 use crate::api::split_submission::SplitSubmissions;
 use crate::controller::Context;
 use crate::io::RequestId;
@@ -39,12 +44,13 @@
 mod answers;
 mod comparisons;
 mod dependencies;
+mod dependency_cancellations;
 mod dependency_checks;
 mod job_query;
 mod known_jobs;
 mod lookups;
 mod queries;
-mod read_budget;
+mod rate_budget;
 mod replies;
 mod requests;
 mod split_submission;
@@ -89,9 +95,10 @@
     acceptances: AcceptanceQueue,
     split_submissions: SplitSubmissions,
     comparisons: ComparisonQueue,
-    read_budget: ReadBudget,
+    read_budget: RateBudget,
     lookups: DependencyLookups,
     long_lists: LongDependencyLists,
+    dependency_cancellations: DependencyCancellations,
     /// Sequence number of the last submission or dependency lookup; 0 if there was none.
     last_sequence: u64,
     /// Time on the monotonic clock before which no submission is written, set after a throttled write; 0 if no write
@@ -107,9 +114,10 @@
             acceptances: AcceptanceQueue::default(),
             split_submissions: SplitSubmissions::default(),
             comparisons: ComparisonQueue::default(),
-            read_budget: ReadBudget::default(),
+            read_budget: RateBudget::default(),
             lookups: DependencyLookups::default(),
             long_lists: LongDependencyLists::default(),
+            dependency_cancellations: DependencyCancellations::default(),
             last_sequence: 0,
             retry_writes_at_ms: 0,
         }
--- a/crates/core/src/api/queries.rs
+++ b/crates/core/src/api/queries.rs
@@ -3,6 +3,7 @@
 use crate::api::answers::{self, UnavailableReason};
 use crate::api::comparisons::ComparisonLimits;
 use crate::api::dependencies::{self, DependencyReport, DependencyState};
+use crate::api::dependency_checks::refresh_threshold;
 use crate::api::job_query::{JobQuery, QueryPurpose};
 use crate::api::known_jobs::FinalState;
 use crate::api::lookups::DeferredRequest;
@@ -10,7 +11,7 @@
 use crate::api::{Api, TaskCountSource};
 use crate::controller::{BatchTime, Context};
 use crate::event::Event;
-use crate::io::KvRequest;
+use crate::io::{Answer, KvRequest};
 use crate::records::keys;
 use crate::settings::Settings;
 use shaleshunt_wire::STATUS_TIMEOUT_S;
@@ -34,8 +35,9 @@
         } else if query.purpose == QueryPurpose::Status
             && let Some(known) = self.known.unfinished(&query.job)
         {
-            // The lookups are queued first, so that the dependencies are compared together with the job.
-            let report = dependencies::resolve(&self.known, &known.dependencies, ctx.batch_time());
+            // The lookups are queued first, so that the dependencies are compared together with the job. They begin
+            // before the confirmations are too old for an answer.
+            let report = dependencies::resolve(&self.known, &known.dependencies, refresh_threshold(ctx));
             if let DependencyState::Unknown(jobs) = report.state {
                 self.look_up(ctx, jobs);
             }
@@ -84,7 +86,9 @@
     }
 
     /// Answers a query about a job whose record shows it neither finished nor cancelled. If the job depends on others,
-    /// it is reported as unfinished only if none of them is cancelled; the query is deferred while that is not known.
+    /// it is reported as unfinished only if each of them is done or was recently confirmed as unfinished; the query is
+    /// deferred while that is not known. If one of them is cancelled, the query is answered when the job's own
+    /// cancellation is recorded.
     pub(super) fn reply_unfinished(
         &mut self,
         ctx: &mut Context,
@@ -92,19 +96,23 @@
         since: BatchTime,
         progress: &dyn TaskCountSource,
     ) {
-        let Some(report) = self.dependency_report(ctx, &query, since) else {
-            self.reply_progress(ctx, &query, progress);
+        if query.is_dependency_lookup() {
+            self.lookups.finish(&query.job);
+            return;
+        }
+        if let Some(state) = self.known.final_state(&query.job) {
+            // The job ended after its record was read, while the query waited for others.
+            self.reply_final(ctx, &query, state);
+            return;
+        }
+        let Some(report) = self.dependency_report(ctx, &query.job) else {
+            self.read_again(ctx, query);
             return;
         };
         emit_check(ctx, &query.job, &report);
         match report.state {
             DependencyState::NoneCancelled => self.reply_progress(ctx, &query, progress),
-            DependencyState::Cancelled if report.is_long => {
-                ctx.answer(query.request, answers::unavailable(UnavailableReason::CancellationPending));
-            }
-            // The job can never run. This is as final as the job's own record will be, and every controller reaches the
-            // same result.
-            DependencyState::Cancelled => self.reply_final(ctx, &query, FinalState::Cancelled),
+            DependencyState::Cancelled => self.record_dependency_cancellation(ctx, query),
             DependencyState::Unknown(jobs) => {
                 self.look_up(ctx, jobs);
                 self.lookups.defer(DeferredRequest::Query(query, since));
@@ -117,21 +125,29 @@
         let counts = progress.task_counts(&query.job);
         let status = if counts.running > 0 { JobStatus::Running } else { JobStatus::Queued };
         let view = JobView { id: query.job.clone(), status, done: Some(counts.done), running: Some(counts.running) };
-        self.reply_job(ctx, query, view);
+        self.reply(ctx, query, answers::job(view));
     }
 
     /// Records a job's final state and answers a query with it.
     pub(super) fn reply_final(&mut self, ctx: &mut Context, query: &JobQuery, state: FinalState) {
         self.known.record_final(&query.job, state);
-        self.reply_job(ctx, query, answers::final_view(&query.job, state));
+        self.reply(ctx, query, answers::job(answers::final_view(&query.job, state)));
     }
 
-    /// Answers a query with a job's view. A dependency lookup is finished instead.
-    fn reply_job(&mut self, ctx: &mut Context, query: &JobQuery, view: JobView) {
-        if query.is_dependency_lookup() {
-            self.lookups.finish(&query.job);
-        } else {
-            ctx.answer(query.request, answers::job(view));
+    /// Answers a query. A dependency lookup is finished instead, and a dependency cancellation is finished with this
+    /// answer to all queries that wait for it.
+    fn reply(&mut self, ctx: &mut Context, query: &JobQuery, answer: Answer) {
+        match query.purpose {
+            QueryPurpose::DependencyLookup { .. } => self.lookups.finish(&query.job),
+            QueryPurpose::DependencyCancellation => {
+                for waiting in self.dependency_cancellations.finish(&query.job) {
+                    ctx.answer(waiting.request, answer.clone());
+                }
+            }
+            QueryPurpose::Status
+            | QueryPurpose::Resubmission
+            | QueryPurpose::Refusal(_)
+            | QueryPurpose::Cancellation => ctx.answer(query.request, answer),
         }
     }
 
@@ -140,7 +156,16 @@
         if query.is_dependency_lookup() {
             self.lookups.fail(&query.job, ctx.now_ms() + super::retry_delay_ms(&ctx.settings));
         } else {
-            ctx.answer(query.request, answers::unavailable(reason));
+            self.reply(ctx, query, answers::unavailable(reason));
+        }
+    }
+
+    /// Reads a job's record again, as what was known of it no longer holds. Answers 503 if no retry is left.
+    pub(super) fn read_again(&mut self, ctx: &mut Context, mut query: JobQuery) {
+        if query.retry() {
+            self.read(ctx, query);
+        } else {
+            self.reply_unavailable(ctx, &query, UnavailableReason::RecordChanged);
         }
     }
 }
--- a/crates/core/src/api/replies.rs
+++ b/crates/core/src/api/replies.rs
@@ -8,7 +8,7 @@
 use crate::controller::{BatchTime, Context};
 use crate::event::Event;
 use crate::io::{KvReply, KvRequest, RequestError};
-use crate::records::{FinalRecord, StoredJob, keys};
+use crate::records::{CancellationCause, FinalRecord, StoredJob, keys};
 use serde_json::json;
 use shaleshunt_wire::Revision;
 use shaleshunt_wire::kv::{KeyValue, Precondition, Transaction, Write};
@@ -121,8 +121,8 @@
         };
         if record.is_cancelled() {
             self.reply_final(ctx, &query, FinalState::Cancelled);
-        } else if query.purpose == QueryPurpose::Cancellation {
-            send_cancellation(ctx, query, record, pair.version);
+        } else if let Some(cause) = query.cancellation_cause() {
+            send_cancellation(ctx, query, record, pair.version, cause);
         } else {
             match record {
                 StoredJob::Whole(record) => {
@@ -188,17 +188,11 @@
     }
 
     /// Handles a query for a job that has neither a job record nor a final record.
-    fn handle_missing_job(&mut self, ctx: &mut Context, mut query: JobQuery) {
+    fn handle_missing_job(&mut self, ctx: &mut Context, query: JobQuery) {
         match query.purpose {
             QueryPurpose::Refusal(reason) => ctx.answer(query.request, answers::refused(reason)),
-            // A conflict showed that the job exists. The two reads miss it only if it was accepted between them.
-            QueryPurpose::Resubmission => {
-                if query.retry() {
-                    self.read(ctx, query);
-                } else {
-                    self.reply_unavailable(ctx, &query, UnavailableReason::RecordChanged);
-                }
-            }
+            // The job is known to exist. The two reads miss it only if it was accepted between them.
+            QueryPurpose::Resubmission | QueryPurpose::DependencyCancellation => self.read_again(ctx, query),
             QueryPurpose::DependencyLookup { sequence } => self.lookups.finish_never_accepted(query.job, sequence),
             QueryPurpose::Status | QueryPurpose::Cancellation => ctx.answer(query.request, answers::no_such_job()),
         }
@@ -207,7 +201,7 @@
     fn handle_cancellation_reply(&mut self, ctx: &mut Context, mut query: JobQuery, result: KvResult) {
         match result {
             Ok(KvReply::Committed(_)) => {
-                ctx.emit(Event::JobCancellationRecorded { job: query.job.as_str().into() });
+                emit_cancellation(ctx, &query);
                 self.reply_final(ctx, &query, FinalState::Cancelled);
             }
             // The record has changed since it was read, so it is read again.
@@ -222,16 +216,32 @@
     requests::send(ctx, read.next_page(), ApiRequest::ReadSubmissionParts(read));
 }
 
-/// Sends the transaction that marks a job as cancelled in its record and creates its cancellation key, which all
-/// controllers watch.
-fn send_cancellation(ctx: &mut Context, query: JobQuery, record: StoredJob, record_version: Revision) {
+/// Logs that a cancellation was committed.
+fn emit_cancellation(ctx: &mut Context, query: &JobQuery) {
+    let job = query.job.as_str().into();
+    ctx.emit(match query.cancellation_cause() {
+        Some(CancellationCause::Dependency) => Event::JobCancelledByDependency { job },
+        Some(CancellationCause::User) | None => Event::JobCancellationRecorded { job },
+    });
+}
+
+/// Sends the transaction that marks a job as cancelled in its record. A user's cancellation also creates the job's
+/// cancellation key, which all controllers watch; a job with a cancelled dependency has no tasks to stop.
+fn send_cancellation(
+    ctx: &mut Context,
+    query: JobQuery,
+    record: StoredJob,
+    record_version: Revision,
+    cause: CancellationCause,
+) {
     let (job, cancellation) = (keys::job(&query.job), keys::cancellation(&query.job));
-    let transaction = Transaction {
-        preconditions: vec![
-            Precondition { key: job.clone(), version: record_version },
-            Precondition { key: cancellation.clone(), version: Revision::ABSENT },
-        ],
-        writes: vec![Write::set(job, record.into_cancelled()), Write::set(cancellation, json!(true))],
+    let mut transaction = Transaction {
+        preconditions: vec![Precondition { key: job.clone(), version: record_version }],
+        writes: vec![Write::set(job, record.into_cancelled(cause))],
     };
+    if cause == CancellationCause::User {
+        transaction.preconditions.push(Precondition { key: cancellation.clone(), version: Revision::ABSENT });
+        transaction.writes.push(Write::set(cancellation, json!(true)));
+    }
     requests::send(ctx, KvRequest::Transaction(transaction), ApiRequest::Cancel(query));
 }
--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -2,8 +2,8 @@
 
 use super::{Event, EventValue, StepDownReason};
 use crate::capacity::InsufficientSetting;
-use shaleshunt_wire::Epoch;
 use shaleshunt_wire::worker::ExitCause;
+use shaleshunt_wire::{Epoch, Revision};
 
 /// Name of a field, stable between versions, and its value.
 type Field<'a> = (&'static str, EventValue<'a>);
@@ -18,8 +18,7 @@
         match self {
             Event::LeaderElected { epoch, token } => vec![field("epoch", *epoch), field("token", token.0)],
             Event::LeaderStateLoaded { epoch, jobs, machines, revision, seconds } => {
-                let counts = vec![field("epoch", *epoch), field("jobs", *jobs), field("machines", *machines)];
-                counts.into_iter().chain([field("revision", revision.0), field("seconds", *seconds)]).collect()
+                state_loaded_fields(*epoch, [*jobs, *machines], *revision, *seconds)
             }
             Event::LeaderSteppedDown { epoch, reason } => step_down_fields(*epoch, reason),
             Event::LeaderStatus(status) => status.fields(),
@@ -40,9 +39,7 @@
             | Event::JobCancelledByDependency { job }
             | Event::JobOffloaded { job } => vec![field("job", &**job)],
             Event::JobDependenciesChecked { job, any_cancelled, examined, oldest_confirmation_s } => {
-                let result = vec![field("job", &**job), field("any_cancelled", *any_cancelled)];
-                let basis = [field("examined", *examined), field("oldest_confirmation_s", *oldest_confirmation_s)];
-                result.into_iter().chain(basis).collect()
+                dependency_fields(job, *any_cancelled, *examined, *oldest_confirmation_s)
             }
             Event::TaskFailed { task, machine, cause } => task_failed_fields(task, machine, cause),
             Event::Agent(event) => event.fields(),
@@ -71,6 +68,22 @@
     }
 }
 
+fn state_loaded_fields<'a>(
+    epoch: Epoch,
+    [jobs, machines]: [usize; 2],
+    revision: Revision,
+    seconds: f64,
+) -> Vec<Field<'a>> {
+    let counts = [field("epoch", epoch), field("jobs", jobs), field("machines", machines)];
+    counts.into_iter().chain([field("revision", revision.0), field("seconds", seconds)]).collect()
+}
+
+fn dependency_fields(job: &str, any_cancelled: bool, examined: usize, oldest_confirmation_s: f64) -> Vec<Field<'_>> {
+    let result = [field("job", job), field("any_cancelled", any_cancelled)];
+    let basis = [field("examined", examined), field("oldest_confirmation_s", oldest_confirmation_s)];
+    result.into_iter().chain(basis).collect()
+}
+
 fn parts_removed_fields(prefix: &str, job_known: bool) -> Vec<Field<'_>> {
     vec![field("prefix", prefix), field("job_known", job_known)]
 }
--- a/crates/core/src/records/job.rs
+++ b/crates/core/src/records/job.rs
@@ -6,6 +6,15 @@
 use shaleshunt_wire::kv::KeyValue;
 use shaleshunt_wire::user::Submission;
 
+/// Cause of a job's cancellation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CancellationCause {
+    /// The job's user cancelled it. It may have tasks, so its cancellation gets a key that all controllers watch.
+    User,
+    /// A job that it depends on is cancelled. It never had a task.
+    Dependency,
+}
+
 /// Record of an unfinished job.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -18,7 +27,8 @@
     /// Whether the job has been cancelled.
     #[serde(rename = "x", default)]
     pub cancelled: bool,
-    /// Whether the cancellation has its own key. False for records written by version 0.1.
+    /// Whether the cancellation has its own key. False if the job was cancelled with one that it depends on, and for
+    /// records written by version 0.1.
     #[serde(rename = "k", default)]
     pub has_cancellation_key: bool,
 }
@@ -29,14 +39,14 @@
         JobRecord { submission, accepted_at_ms, cancelled: false, has_cancellation_key: false }
     }
 
-    /// Returns the record after the user has cancelled the job. Fields that only matter before the tasks start are
-    /// cleared, since the store's size limit for values may be lower than when the job was accepted.
-    pub fn into_cancelled(mut self) -> JobRecord {
+    /// Returns the record after the job was cancelled. Fields that only matter before the tasks start are cleared, since
+    /// the store's size limit for values may be lower than when the job was accepted.
+    pub fn into_cancelled(mut self, cause: CancellationCause) -> JobRecord {
         self.submission.dependencies.clear();
         self.submission.machine_types = None;
         self.submission.zone = None;
         self.submission.image.clear();
-        JobRecord { cancelled: true, has_cancellation_key: true, ..self }
+        JobRecord { cancelled: true, has_cancellation_key: cause == CancellationCause::User, ..self }
     }
 }
 
@@ -118,12 +128,13 @@
         }
     }
 
-    /// Returns the value after the user has cancelled the job.
-    pub fn into_cancelled(self) -> Value {
+    /// Returns the value after the job was cancelled.
+    pub fn into_cancelled(self, cause: CancellationCause) -> Value {
         match self {
-            StoredJob::Whole(record) => json!(record.into_cancelled()),
+            StoredJob::Whole(record) => json!(record.into_cancelled(cause)),
             StoredJob::SplitSubmission(record) => {
-                json!(SplitSubmissionRecord { cancelled: true, has_cancellation_key: true, ..record })
+                let has_cancellation_key = cause == CancellationCause::User;
+                json!(SplitSubmissionRecord { cancelled: true, has_cancellation_key, ..record })
             }
         }
     }
--- a/crates/core/src/records/mod.rs
+++ b/crates/core/src/records/mod.rs
@@ -11,7 +11,7 @@
 mod page;
 
 pub(crate) use election::{LeaderRecord, epoch_from_value, epoch_to_value};
-pub use job::{FinalRecord, JobRecord, SplitSubmissionRecord, StoredJob};
+pub use job::{CancellationCause, FinalRecord, JobRecord, SplitSubmissionRecord, StoredJob};
 pub use machine::{BlockRecord, ImageRecord, MachineRecord, V01MachineRecord, V01PlacementRecord};
 pub use page::{PageRecord, PlacementRecord, TaskEntry, TaskRun};
 
--- a/crates/core/src/records/tests.rs
+++ b/crates/core/src/records/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::model::samples;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::{Value, json};
@@ -26,7 +27,7 @@
             keys::JOBS => {
                 let record: JobRecord = round_trip(&v);
                 assert!(record.submission.dependencies.is_empty());
-                let cancelled = json!(record.into_cancelled());
+                let cancelled = json!(record.into_cancelled(CancellationCause::User));
                 // Production requires these fields.
                 let kept = ["pieces", "crew", "jobline", "shape", "urgency", "cores", "bundle", "expectS"];
                 assert!(kept.iter().all(|f| !cancelled["s"][*f].is_null()) && cancelled["x"] == true);
@@ -63,7 +64,8 @@
     let record: JobRecord = round_trip_text(&text);
     assert_eq!((record.accepted_at_ms, record.cancelled, record.has_cancellation_key), (5, true, false));
     assert_eq!((record.submission.id.as_str(), record.submission.tasks), ("wk-1", 3));
-    let cancelled = serde_json::to_string(&JobRecord::new(record.submission, 5).into_cancelled()).unwrap();
+    let cancelled =
+        serde_json::to_string(&JobRecord::new(record.submission, 5).into_cancelled(CancellationCause::User)).unwrap();
     assert!(cancelled.ends_with(r#","at":5,"x":true,"k":true}"#), "{cancelled}");
 }
 
@@ -72,10 +74,24 @@
     let record: SplitSubmissionRecord = round_trip_text(r#"{"p":"s/wk-1/n0-5-1/","n":3,"at":5,"x":true,"k":false}"#);
     assert_eq!((record.job(), record.tasks, record.accepted_at_ms), ("wk-1", 3, 5));
     assert!(record.cancelled && !record.has_cancellation_key);
-    let cancelled = StoredJob::SplitSubmission(record).into_cancelled();
+    let cancelled = StoredJob::SplitSubmission(record).into_cancelled(CancellationCause::User);
     assert_eq!(cancelled.to_string(), r#"{"at":5,"k":true,"n":3,"p":"s/wk-1/n0-5-1/","x":true}"#);
 }
 
+/// The leader removes the cancellation's key with the end of the job, so a record must not claim one that is not there.
+#[test]
+fn a_record_cancelled_by_a_dependency_has_no_cancellation_key() {
+    let records = [
+        json!(JobRecord::new(samples::submission("wk-1"), 5)),
+        json!({"p": "s/wk-1/n0-5-1/", "n": 3, "at": 5, "x": false, "k": false}),
+    ];
+    for record in records {
+        let cancelled = StoredJob::read(record).unwrap().into_cancelled(CancellationCause::Dependency);
+        let cancelled = StoredJob::read(cancelled).unwrap();
+        assert!(cancelled.is_cancelled() && !cancelled.has_cancellation_key());
+    }
+}
+
 #[test]
 fn a_final_record_round_trips_and_lacks_the_end_before_version_0_3() {
     let record: FinalRecord = round_trip_text(r#"{"x":true,"n":3,"t":7}"#);
--- a/crates/simulation/src/scenario/grammar/fault.rs
+++ b/crates/simulation/src/scenario/grammar/fault.rs
@@ -177,7 +177,10 @@
         "cancel-completing" => {
             JobFault::CancelCompleting { percent: words.number("a percentage")?, duration_ms: duration(words)? }
         }
-        "probe-all-controllers" => JobFault::ProbeAllControllers { duration_ms: duration(words)? },
+        "probe-all-controllers" => {
+            let job = if words.take_if("about") { Some(words.text("a job")?) } else { None };
+            JobFault::ProbeAllControllers { job, duration_ms: duration(words)? }
+        }
         _ => return Ok(None),
     }))
 }
--- a/crates/simulation/src/scenario/grammar/job.rs
+++ b/crates/simulation/src/scenario/grammar/job.rs
@@ -57,7 +57,7 @@
         "spread" => spec.spread_zones = true,
         "spot" => spec.spot = true,
         "priority" => spec.priority = priority(words)?,
-        "after" => spec.dependencies = words.list("a list of jobs")?,
+        "after" => spec.dependencies.extend(words.list("a list of jobs")?),
         "after-all" => {
             let name = words.next("a job with copies")?;
             let count: u32 = words.number("the number of copies")?;
--- a/crates/simulation/src/simulation/fault.rs
+++ b/crates/simulation/src/simulation/fault.rs
@@ -352,6 +352,8 @@
     /// When a job is accepted, completed or cancelled, its user sends status queries and the submission to all
     /// controllers within milliseconds; some of the accepted jobs are cancelled at once.
     ProbeAllControllers {
+        /// The job whose users do so, or the job of which theirs is a copy; `None` for all users.
+        job: Option<String>,
         /// Duration of the fault, in ms.
         duration_ms: u64,
     },
--- a/crates/simulation/src/simulation/fault/duration.rs
+++ b/crates/simulation/src/simulation/fault/duration.rs
@@ -90,7 +90,7 @@
             JobFault::FailEverywhere { .. } => 0,
             JobFault::CancelRunning { hang_ms: ms, .. }
             | JobFault::CancelCompleting { duration_ms: ms, .. }
-            | JobFault::ProbeAllControllers { duration_ms: ms } => *ms,
+            | JobFault::ProbeAllControllers { duration_ms: ms, .. } => *ms,
         }
     }
 }
--- a/crates/simulation/src/simulation/inject.rs
+++ b/crates/simulation/src/simulation/inject.rs
@@ -7,6 +7,7 @@
 };
 use super::network::PartitionEnd;
 use super::temporary::{TemporaryDelay, TemporaryProbability};
+use super::users::ProbePeriod;
 use super::{Simulation, agents::AgentLink};
 use crate::cloud::Offer;
 use shaleshunt_wire::worker::TaskStatus;
@@ -243,7 +244,9 @@
             JobFault::CancelCompleting { percent, duration_ms } => {
                 self.users.completion_cancellation = TemporaryProbability::from_percent(percent, now + duration_ms);
             }
-            JobFault::ProbeAllControllers { duration_ms } => self.users.probe_until_ms = now + duration_ms,
+            JobFault::ProbeAllControllers { job, duration_ms } => {
+                self.users.probes = Some(ProbePeriod { job, until_ms: now + duration_ms });
+            }
         }
     }
 }
