--- a/crates/core/src/api/dependency_cancellations/tests.rs
+++ b/crates/core/src/api/dependency_cancellations/tests.rs
@@ -24,5 +24,7 @@
     let beyond = cancellations.request(query(2, "wk-2"), 60_000, 1.0);
     assert!(matches!(beyond, CancellationStep::TooMany(query) if query.request == 2));
     assert!(cancellations.finish("wk-2").is_empty());
+    cancellations.finish("wk-1");
+    assert!(cancellations.is_waiting(60_000) && !cancellations.is_waiting(60_000 + REFUSED_COUNTS_MS));
     assert!(matches!(cancellations.request(query(3, "wk-2"), 61_000, 1.0), CancellationStep::Begin));
 }
--- a/crates/core/src/api/dependency_checks.rs
+++ b/crates/core/src/api/dependency_checks.rs
@@ -10,7 +10,7 @@
 use crate::controller::{BatchTime, Context};
 
 /// Fraction of the store's write rate that all controllers may use to record cancellations by dependencies.
-const CANCELLATION_WRITE_FRACTION: f64 = 0.25;
+const CANCELLATION_WRITE_FRACTION: f64 = 0.75;
 /// Fraction of the cancellation time limit (`cancel_s`) for which a confirmation of a dependency counts as recent.
 const RECENT_WINDOW_FRACTION: f64 = 0.25;
 
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -152,9 +152,10 @@
         }
     }
 
-    /// Returns the number of queued submissions, without those being written in parts.
-    pub fn pending_submissions(&self) -> u32 {
-        self.acceptances.len() as u32
+    /// Returns the number of users' writes that wait: queued submissions, without those being written in parts, and one
+    /// for all cancellations by dependencies.
+    pub fn pending_writes(&self, now_ms: u64) -> u32 {
+        self.acceptances.len() as u32 + u32::from(self.dependency_cancellations.is_waiting(now_ms))
     }
 
     /// Returns whether a job is cached as cancelled.
--- a/crates/core/src/leader/store/write_queue.rs
+++ b/crates/core/src/leader/store/write_queue.rs
@@ -18,7 +18,7 @@
 /// job's record implies it.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct JobEnd {
-    cancelled_with_another: bool,
+    pub cancelled_with_another: bool,
     since_ms: u64,
     pub job: Id,
 }
