--- a/crates/core/src/api/dependencies.rs
+++ b/crates/core/src/api/dependencies.rs
@@ -2,6 +2,7 @@
 
 use crate::api::known_jobs::{FinalState, KnownJob, KnownJobs};
 use crate::controller::BatchTime;
+use crate::event::DependencyCheck;
 use std::collections::{BTreeMap, HashSet};
 
 /// Maximum number of one job's dependencies that are looked up together, so that a long list does not delay the lookups
@@ -40,6 +41,19 @@
     pub fn is_long(&self) -> bool {
         self.examined > MAX_LOOKUPS_PER_QUERY
     }
+
+    /// Describes the evaluation for the log; `None` if it decides nothing.
+    pub fn check(&self, job: &str, now_ms: u64) -> Option<DependencyCheck> {
+        let any_cancelled = match self.state {
+            DependencyState::Unknown(_) => return None,
+            DependencyState::NoneCancelled => false,
+            DependencyState::Cancelled => true,
+        };
+        let age_ms = self.oldest_confirmation_ms.map_or(0, |at_ms| now_ms.saturating_sub(at_ms));
+        let oldest_confirmation_s = age_ms as f64 / 1000.0;
+        let check = DependencyCheck { job: job.into(), any_cancelled, examined: self.examined, oldest_confirmation_s };
+        (self.examined > 0).then_some(check)
+    }
 }
 
 /// Evaluates dependencies by following them through the known jobs. An unfinished job counts as known only if it was
--- a/crates/core/src/api/dependency_checks.rs
+++ b/crates/core/src/api/dependency_checks.rs
@@ -116,3 +116,6 @@
     let recent = recency_threshold(ctx);
     BatchTime { at_ms: recent.at_ms.midpoint(ctx.now_ms()), ..recent }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/core/src/api/mod.rs
+++ b/crates/core/src/api/mod.rs
@@ -154,7 +154,7 @@
 
     /// Returns the number of users' writes that wait: queued submissions, without those being written in parts, and one
     /// for all cancellations by dependencies.
-    pub fn pending_writes(&self, now_ms: u64) -> u32 {
+    pub fn pending_user_writes(&self, now_ms: u64) -> u32 {
         self.acceptances.len() as u32 + u32::from(self.dependency_cancellations.is_waiting(now_ms))
     }
 
--- a/crates/core/src/api/queries.rs
+++ b/crates/core/src/api/queries.rs
@@ -2,7 +2,7 @@
 
 use crate::api::answers::{self, UnavailableReason};
 use crate::api::comparisons::ComparisonLimits;
-use crate::api::dependencies::{self, DependencyReport, DependencyState};
+use crate::api::dependencies::{self, DependencyState};
 use crate::api::dependency_checks::refresh_threshold;
 use crate::api::job_query::{JobQuery, QueryPurpose};
 use crate::api::known_jobs::FinalState;
@@ -109,7 +109,9 @@
             self.read_again(ctx, query);
             return;
         };
-        emit_check(ctx, &query.job, &report);
+        if let Some(check) = report.check(&query.job, ctx.now_ms()) {
+            ctx.emit(Event::JobDependenciesChecked(Box::new(check)));
+        }
         match report.state {
             DependencyState::NoneCancelled => self.reply_progress(ctx, &query, progress),
             DependencyState::Cancelled => self.record_dependency_cancellation(ctx, query),
@@ -170,24 +172,6 @@
     }
 }
 
-/// Logs a decision that rests on the states of a job's dependencies.
-fn emit_check(ctx: &mut Context, job: &str, report: &DependencyReport) {
-    let any_cancelled = match report.state {
-        DependencyState::NoneCancelled if report.examined == 0 => return,
-        DependencyState::Unknown(_) => return,
-        DependencyState::NoneCancelled => false,
-        DependencyState::Cancelled => true,
-    };
-    let age_ms = report.oldest_confirmation_ms.map_or(0, |at_ms| ctx.now_ms().saturating_sub(at_ms));
-    let oldest_confirmation_s = age_ms as f64 / 1000.0;
-    ctx.emit(Event::JobDependenciesChecked {
-        job: job.into(),
-        any_cancelled,
-        examined: report.examined,
-        oldest_confirmation_s,
-    });
-}
-
 /// Returns the maximum time that a status query waits for its comparison batch to fill, in milliseconds.
 fn comparison_delay_ms(settings: &Settings) -> u64 {
     let interval_ms = 1000.0 / (settings.kv_rps * COMPARISON_RATE_FRACTION);
--- a/crates/core/src/controller/context.rs
+++ b/crates/core/src/controller/context.rs
@@ -189,7 +189,7 @@
     /// written, they are assumed to be the cause, and the leader's rate stays.
     pub fn record_throttled_write(&mut self) {
         let interval = self.settings.heartbeat_interval_ms();
-        if !self.submissions_waiting() && self.limits.record_throttling(self.now.monotonic_ms, interval) {
+        if !self.user_writes_waiting() && self.limits.record_throttling(self.now.monotonic_ms, interval) {
             self.emit(Event::WriteRateReduced { writes_per_s: self.limits.write_rate() });
         }
     }
@@ -204,8 +204,8 @@
         self.peer_activity.live_peers
     }
 
-    /// Returns whether submissions wait to be written to the key-value store, on this node or on a live peer.
-    pub fn submissions_waiting(&self) -> bool {
-        self.peer_activity.submissions_waiting
+    /// Returns whether writes for users wait to be committed to the key-value store, on this node or on a live peer.
+    pub fn user_writes_waiting(&self) -> bool {
+        self.peer_activity.user_writes_waiting
     }
 }
--- a/crates/core/src/controller/mod.rs
+++ b/crates/core/src/controller/mod.rs
@@ -231,7 +231,7 @@
         self.ctx.limits.recover_rate(now, self.ctx.settings.heartbeat_interval_ms());
         let progress = ControllerTaskCounts { leader: self.leader.as_deref(), shared: self.peers.task_counts() };
         self.api.run_due(&mut self.ctx, &progress);
-        let activity = self.peers.views().activity(now, &self.ctx.settings, self.api.pending_writes(now));
+        let activity = self.peers.views().activity(now, &self.ctx.settings, self.api.pending_user_writes(now));
         self.ctx.set_peer_activity(activity);
         self.run_leader();
         self.update_relay();
--- a/crates/core/src/controller/peer_exchange.rs
+++ b/crates/core/src/controller/peer_exchange.rs
@@ -71,7 +71,7 @@
             sent_at_ms: now_ms,
             echo: HeartbeatEcho::default(),
             lease_extension_age_ms: to_u32_saturating(self.zone_leases.renewal_age_ms(now_ms)),
-            pending_submissions: self.api.pending_writes(self.ctx.now_ms()),
+            pending_user_writes: self.api.pending_user_writes(self.ctx.now_ms()),
         };
         self.peers.send_heartbeats(&mut self.ctx, &heartbeat);
     }
--- a/crates/core/src/controller/peer_views.rs
+++ b/crates/core/src/controller/peer_views.rs
@@ -20,8 +20,8 @@
     store_contact_age_ms: u32,
     /// Identifies the last heartbeat, to be echoed to the peer.
     echo: HeartbeatEcho,
-    /// Submissions at the peer that wait to be written.
-    pending_submissions: u32,
+    /// Writes for users that wait at the peer.
+    pending_user_writes: u32,
 }
 
 /// Summary of the peers' state for other subsystems.
@@ -29,8 +29,8 @@
 pub(super) struct PeerActivity {
     /// Number of live peers.
     pub live_peers: u32,
-    /// Whether submissions wait to be written to the key-value store, on this node or on a live peer.
-    pub submissions_waiting: bool,
+    /// Whether writes for users wait to be committed to the key-value store, on this node or on a live peer.
+    pub user_writes_waiting: bool,
 }
 
 /// Last reported state of each configured peer, by node name.
@@ -60,7 +60,7 @@
             last_heartbeat_at_ms: Some(now_ms),
             store_contact_age_ms: heartbeat.store_contact_age_ms,
             echo: HeartbeatEcho { process_id: heartbeat.process_id, sent_at_ms: heartbeat.sent_at_ms },
-            pending_submissions: heartbeat.pending_submissions,
+            pending_user_writes: heartbeat.pending_user_writes,
         };
     }
 
@@ -76,12 +76,12 @@
         self.0.get(peer).and_then(|view| view.last_heartbeat_at_ms)
     }
 
-    /// Summarizes the state of the live peers and of this process, which has `own_pending_submissions`.
-    pub fn activity(&self, now_ms: u64, settings: &Settings, own_pending_submissions: u32) -> PeerActivity {
+    /// Summarizes the state of the live peers and of this process, which has `own_pending_user_writes`.
+    pub fn activity(&self, now_ms: u64, settings: &Settings, own_pending_user_writes: u32) -> PeerActivity {
         let live: Vec<&PeerView> = self.0.values().filter(|view| view.is_live(now_ms, settings)).collect();
         PeerActivity {
             live_peers: live.len() as u32,
-            submissions_waiting: own_pending_submissions > 0 || live.iter().any(|view| view.pending_submissions > 0),
+            user_writes_waiting: own_pending_user_writes > 0 || live.iter().any(|view| view.pending_user_writes > 0),
         }
     }
 
--- a/crates/core/src/controller/relay/tests.rs
+++ b/crates/core/src/controller/relay/tests.rs
@@ -21,7 +21,7 @@
         sent_at_ms: 70,
         echo: HeartbeatEcho::default(),
         lease_extension_age_ms: 0,
-        pending_submissions: 0,
+        pending_user_writes: 0,
     };
     let mut peers = PeerViews::new(settings);
     peers.record("b", heartbeat_at_ms, &heartbeat);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -3,6 +3,7 @@
 //! The core emits events as effects, in order; the surrounding process writes them to the log.
 
 mod agent_event;
+mod dependency_check;
 mod fields;
 mod leader_status;
 mod severity;
@@ -10,6 +11,7 @@
 
 pub use crate::step_down::{ForeignWrite, StepDownReason};
 pub use agent_event::{AgentEvent, AttemptOnMachine, RefusedCall, StopReason};
+pub use dependency_check::DependencyCheck;
 pub use leader_status::LeaderStatus;
 pub use severity::Severity;
 pub use value::EventValue;
@@ -122,16 +124,7 @@
         job: Id,
     },
     /// A user's question about a job that depends on others was decided by the known states of its dependencies.
-    JobDependenciesChecked {
-        /// Identifier of the job.
-        job: Id,
-        /// Whether a dependency is cancelled.
-        any_cancelled: bool,
-        /// Number of dependencies examined, direct and transitive.
-        examined: usize,
-        /// Age of the oldest confirmation that an examined dependency is unfinished, in seconds; 0 if all have ended.
-        oldest_confirmation_s: f64,
-    },
+    JobDependenciesChecked(Box<DependencyCheck>),
     /// A job that would miss its deadline on owned machines is offloaded to rented machines.
     JobOffloaded {
         /// Identifier of the job.
@@ -307,7 +300,7 @@
             | Event::JobCompleted { .. }
             | Event::JobDependenciesMet { .. }
             | Event::JobCancelledByDependency { .. }
-            | Event::JobDependenciesChecked { .. }
+            | Event::JobDependenciesChecked(_)
             | Event::JobOffloaded { .. }
             | Event::TaskFailed { .. }
             | Event::TasksPreempted { .. }
@@ -340,7 +333,7 @@
             Event::JobCompleted { .. } => "job_completed",
             Event::JobDependenciesMet { .. } => "job_dependencies_met",
             Event::JobCancelledByDependency { .. } => "job_cancelled_by_dependency",
-            Event::JobDependenciesChecked { .. } => "job_dependencies_checked",
+            Event::JobDependenciesChecked(_) => "job_dependencies_checked",
             Event::JobOffloaded { .. } => "job_offloaded",
             Event::TaskFailed { .. } => "task_failed",
             Event::Agent(event) => event.name(),
--- a/crates/core/src/event/fields.rs
+++ b/crates/core/src/event/fields.rs
@@ -6,9 +6,9 @@
 use shaleshunt_wire::{Epoch, Revision};
 
 /// Name of a field, stable between versions, and its value.
-type Field<'a> = (&'static str, EventValue<'a>);
+pub(super) type Field<'a> = (&'static str, EventValue<'a>);
 
-fn field<'a>(name: &'static str, value: impl Into<EventValue<'a>>) -> Field<'a> {
+pub(super) fn field<'a>(name: &'static str, value: impl Into<EventValue<'a>>) -> Field<'a> {
     (name, value.into())
 }
 
@@ -38,9 +38,7 @@
             | Event::JobDependenciesMet { job }
             | Event::JobCancelledByDependency { job }
             | Event::JobOffloaded { job } => vec![field("job", &**job)],
-            Event::JobDependenciesChecked { job, any_cancelled, examined, oldest_confirmation_s } => {
-                dependency_fields(job, *any_cancelled, *examined, *oldest_confirmation_s)
-            }
+            Event::JobDependenciesChecked(check) => check.fields(),
             Event::TaskFailed { task, machine, cause } => task_failed_fields(task, machine, cause),
             Event::Agent(event) => event.fields(),
             Event::TasksPreempted { machine, job, tasks } => {
@@ -78,12 +76,6 @@
     counts.into_iter().chain([field("revision", revision.0), field("seconds", seconds)]).collect()
 }
 
-fn dependency_fields(job: &str, any_cancelled: bool, examined: usize, oldest_confirmation_s: f64) -> Vec<Field<'_>> {
-    let result = [field("job", job), field("any_cancelled", any_cancelled)];
-    let basis = [field("examined", examined), field("oldest_confirmation_s", oldest_confirmation_s)];
-    result.into_iter().chain(basis).collect()
-}
-
 fn parts_removed_fields(prefix: &str, job_known: bool) -> Vec<Field<'_>> {
     vec![field("prefix", prefix), field("job_known", job_known)]
 }
--- a/crates/core/src/event/tests.rs
+++ b/crates/core/src/event/tests.rs
@@ -28,7 +28,7 @@
         Event::JobCompleted { .. } => 15,
         Event::JobDependenciesMet { .. } => 16,
         Event::JobCancelledByDependency { .. } => 17,
-        Event::JobDependenciesChecked { .. } => 18,
+        Event::JobDependenciesChecked(_) => 18,
         Event::JobOffloaded { .. } => 19,
         Event::TaskFailed { .. } => 20,
         Event::Agent(event) => 21 + agent_event_index(event),
@@ -205,12 +205,12 @@
             "event=job_cancelled_by_dependency job=wk-000412",
         ),
         (
-            Event::JobDependenciesChecked {
+            Event::JobDependenciesChecked(Box::new(DependencyCheck {
                 job: job.clone(),
                 any_cancelled: false,
                 examined: 273,
                 oldest_confirmation_s: 4.25,
-            },
+            })),
             Debug,
             "event=job_dependencies_checked job=wk-000412 any_cancelled=false examined=273 oldest_confirmation_s=4.25",
         ),
--- a/crates/core/src/leader/commit.rs
+++ b/crates/core/src/leader/commit.rs
@@ -21,7 +21,7 @@
         tuning: &ctx.tuning,
         limits: &ctx.limits,
         catalog: ctx.catalog.as_ref(),
-        submissions_waiting: ctx.submissions_waiting(),
+        user_writes_waiting: ctx.user_writes_waiting(),
         epoch_version,
     }
 }
--- a/crates/core/src/leader/store/collect.rs
+++ b/crates/core/src/leader/store/collect.rs
@@ -75,9 +75,9 @@
         changes.blocks = self.blocks.collect(now_ms, &mut changes.builder, &mut members, limits);
     }
 
-    /// Adds ends of jobs while the transaction has fewer than `max_writes` writes. While users' writes wait, those of jobs
-    /// cancelled with another wait too: controllers record such a cancellation with one write when a user asks, where an
-    /// end takes two.
+    /// Adds ends of jobs while the transaction has fewer than `max_writes` writes. While writes for users wait, those of
+    /// jobs cancelled by a dependency wait too: a controller records such a cancellation with one write when a user asks,
+    /// where an end takes two.
     fn collect_job_ends(
         &mut self,
         ctx: &StoreContext,
@@ -87,7 +87,7 @@
     ) {
         while changes.builder.write_count_with_reserved() < max_writes
             && let Some(end) = self.queue.first_job_end()
-            && !(ctx.submissions_waiting && end.cancelled_with_another)
+            && !(ctx.user_writes_waiting && end.cancelled_by_dependency)
         {
             if let Some(job) = jobs.get(&end.job)
                 && !collect_job_end(ctx, job, changes)
--- a/crates/core/src/leader/store/collect/tests.rs
+++ b/crates/core/src/leader/store/collect/tests.rs
@@ -33,7 +33,7 @@
         tuning: &tuning,
         limits: &limits,
         catalog: None,
-        submissions_waiting: false,
+        user_writes_waiting: false,
         epoch_version: Revision(1),
     };
     let images = ImageNames::default();
--- a/crates/core/src/leader/store/commit.rs
+++ b/crates/core/src/leader/store/commit.rs
@@ -138,8 +138,8 @@
 
     /// The leader's current share of the store's write rate, in writes per second.
     fn write_rate(&self, ctx: &StoreContext) -> f64 {
-        let demand = match (ctx.submissions_waiting, self.queue.has_urgent_work()) {
-            (true, _) => WriteDemand::Submissions,
+        let demand = match (ctx.user_writes_waiting, self.queue.has_urgent_work()) {
+            (true, _) => WriteDemand::UserWrites,
             (false, true) => WriteDemand::LeaderOnly,
             (false, false) => WriteDemand::Idle,
         };
--- a/crates/core/src/leader/store/sources.rs
+++ b/crates/core/src/leader/store/sources.rs
@@ -20,8 +20,8 @@
     pub limits: &'a StoreLimits,
     /// The machine types. `None` until the cloud or the store has provided them.
     pub catalog: Option<&'a Catalog>,
-    /// Whether users' submissions are waiting to be accepted.
-    pub submissions_waiting: bool,
+    /// Whether users wait for writes of controllers: submissions to be accepted, or cancellations by a dependency.
+    pub user_writes_waiting: bool,
     /// Version that the key of the epoch has while this leader's epoch lasts.
     pub epoch_version: Revision,
 }
--- a/crates/core/src/leader/store/write_budget.rs
+++ b/crates/core/src/leader/store/write_budget.rs
@@ -3,8 +3,8 @@
 /// Demand for writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum WriteDemand {
-    /// Users' submissions are waiting to be accepted.
-    Submissions,
+    /// Users wait for writes of controllers.
+    UserWrites,
     /// No submissions are waiting, but job ends or placements are.
     LeaderOnly,
     /// Neither are waiting.
@@ -16,7 +16,7 @@
 /// also uses half of the share that is reserved for submissions.
 pub(super) fn leader_share(demand: WriteDemand, configured_share: f64) -> f64 {
     match demand {
-        WriteDemand::Submissions => configured_share / 2.0,
+        WriteDemand::UserWrites => configured_share / 2.0,
         WriteDemand::LeaderOnly => (1.0 + configured_share) / 2.0,
         WriteDemand::Idle => configured_share,
     }
--- a/crates/core/src/leader/store/write_budget/tests.rs
+++ b/crates/core/src/leader/store/write_budget/tests.rs
@@ -2,7 +2,7 @@
 
 #[test]
 fn the_leaders_share_depends_on_the_demand() {
-    let cases = [(WriteDemand::Submissions, 0.4), (WriteDemand::LeaderOnly, 0.9), (WriteDemand::Idle, 0.8)];
+    let cases = [(WriteDemand::UserWrites, 0.4), (WriteDemand::LeaderOnly, 0.9), (WriteDemand::Idle, 0.8)];
     for (demand, expected) in cases {
         assert!((leader_share(demand, 0.8) - expected).abs() < 1e-9, "{demand:?}");
     }
--- a/crates/core/src/leader/store/write_queue.rs
+++ b/crates/core/src/leader/store/write_queue.rs
@@ -14,11 +14,11 @@
     Deferred,
 }
 
-/// A job that has ended. Jobs cancelled because of another job sort last: until their own end is written, the other
-/// job's record implies it.
+/// A job that has ended. Jobs cancelled by a dependency sort last: if a user asks before their end is written, a
+/// controller marks their record as cancelled.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct JobEnd {
-    pub cancelled_with_another: bool,
+    pub cancelled_by_dependency: bool,
     since_ms: u64,
     pub job: Id,
 }
@@ -62,8 +62,8 @@
     pub(super) fn queue(&mut self, now: u64, job: &mut Job) {
         if job.has_ended() {
             let since_ms = *job.writes.ended_at_ms.get_or_insert(now);
-            let cancelled_with_another = job.cancelled && !job.record.has_cancellation_key;
-            self.job_ends.insert(JobEnd { cancelled_with_another, since_ms, job: job.id.clone() });
+            let cancelled_by_dependency = job.cancelled && !job.record.has_cancellation_key;
+            self.job_ends.insert(JobEnd { cancelled_by_dependency, since_ms, job: job.id.clone() });
         } else if job.writes.urgent {
             let priority = Reverse(job.scheduling.priority);
             self.urgent.insert(UrgentJob { priority, accepted_at_ms: job.accepted_at_ms, job: job.id.clone() });
--- a/crates/core/src/leader/store/write_queue/tests.rs
+++ b/crates/core/src/leader/store/write_queue/tests.rs
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn the_end_of_a_job_cancelled_with_another_is_written_last() {
+fn the_end_of_a_job_cancelled_by_dependency_is_written_last() {
     let mut queue = WriteQueue::default();
     let (mut with_another, mut by_user) = (job("wk-1", 1), job("wk-2", 2));
     (with_another.cancelled, by_user.cancelled) = (true, true);
--- a/crates/peer/src/codec.rs
+++ b/crates/peer/src/codec.rs
@@ -119,7 +119,7 @@
     writer.put_u64(heartbeat.echo.process_id);
     writer.put_u64(heartbeat.echo.sent_at_ms);
     writer.put_u32(heartbeat.lease_extension_age_ms);
-    writer.put_u32(heartbeat.pending_submissions);
+    writer.put_u32(heartbeat.pending_user_writes);
 }
 
 /// Fields of a struct expression are evaluated in the order written, which is the order on the wire.
@@ -133,7 +133,7 @@
         sent_at_ms: reader.u64()?,
         echo: HeartbeatEcho { process_id: reader.u64()?, sent_at_ms: reader.u64()? },
         lease_extension_age_ms: reader.u32()?,
-        pending_submissions: reader.u32()?,
+        pending_user_writes: reader.u32()?,
     })
 }
 
--- a/crates/peer/src/frame.rs
+++ b/crates/peer/src/frame.rs
@@ -65,8 +65,8 @@
     /// Time since the sender last renewed a machine lease in place of an unreachable leader, or since its process started
     /// if it has renewed none, in milliseconds.
     pub lease_extension_age_ms: u32,
-    /// Number of submissions at the sender that wait to be committed to the key-value store.
-    pub pending_submissions: u32,
+    /// Number of writes for users, such as acceptances, that wait at the sender to be committed to the key-value store.
+    pub pending_user_writes: u32,
 }
 
 /// Acknowledgement of a received heartbeat. All fields are zero if none has been received.
